--- /dev/null
+++ b/include/knapweedpaddle/nodes/GossipSocket.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "knapweedpaddle/nodes/GossipMessage.h"
+
+#include <functional>
+
+namespace knapweedpaddle::runtime {
+class EventLoop;
+}
+
+namespace knapweedpaddle::nodes {
+
+/** Sends and receives gossip datagrams over UDP. Thread safety: control thread only. */
+class GossipSocket
+{
+public:
+  using Handler = std::function<void(const GossipMessage&)>;
+  using ByteCounter = std::function<void(std::size_t aSent, std::size_t aReceived)>;
+
+  /** @param aMesh  name of the mesh; datagrams of others are dropped. */
+  GossipSocket(std::string aMesh, Handler aHandler, ByteCounter aCounter);
+  ~GossipSocket();
+  GossipSocket(const GossipSocket&) = delete;
+  GossipSocket& operator=(const GossipSocket&) = delete;
+
+  /**
+   * Binds and starts receiving.
+   *
+   * @return false when the address can't be bound.
+   */
+  bool Open(runtime::EventLoop& aLoop, NodeId aAddress);
+
+  void Send(const Datagram& aDatagram);
+
+  /** Number of datagrams dropped because they could not be decoded. */
+  std::uint64_t Garbage() const { return mGarbage; }
+
+private:
+  void Receive();
+
+  std::string mMesh;
+  Handler mHandler;
+  ByteCounter mCounter;
+  int mSocket = -1;
+  std::uint64_t mGarbage = 0;
+};
+
+} // namespace knapweedpaddle::nodes
--- /dev/null
+++ b/src/config/EntryCodec.cpp
@@ -0,0 +1,417 @@
+#include "knapweedpaddle/config/EntryCodec.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace knapweedpaddle::config {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+struct FieldError
+{
+  std::string message;
+};
+
+/** Reads the fields of one JSON object and refuses those that nobody read. */
+class FieldReader
+{
+public:
+  FieldReader(const Json& aObject, std::string aWhere)
+    : mObject(aObject)
+    , mWhere(std::move(aWhere))
+  {
+    if (!mObject.is_object()) {
+      throw FieldError{ mWhere + ": must be a JSON object" };
+    }
+  }
+
+  std::string Text(const char* aName, bool aRequired = true)
+  {
+    const Json* it = Take(aName, aRequired);
+    if (!it) {
+      return {};
+    }
+    if (!it->is_string()) {
+      throw FieldError{ Label(aName) + " must be a string" };
+    }
+    return it->get<std::string>();
+  }
+
+  double Number(const char* aName, double aDefault)
+  {
+    const Json* it = Take(aName, false);
+    if (!it) {
+      return aDefault;
+    }
+    if (!it->is_number()) {
+      throw FieldError{ Label(aName) + " must be a number" };
+    }
+    return it->get<double>();
+  }
+
+  std::int64_t Integer(const char* aName, std::int64_t aDefault)
+  {
+    const Json* it = Take(aName, false);
+    if (!it) {
+      return aDefault;
+    }
+    if (!it->is_number_integer() || it->get<double>() > 9e15 || it->get<double>() < 0) {
+      throw FieldError{ Label(aName) + " must be a whole number of at least 0" };
+    }
+    return it->get<std::int64_t>();
+  }
+
+  template<typename Enum, std::size_t N>
+  Enum Name(const char* aName, const std::array<EnumName<Enum>, N>& aTable, Enum aDefault)
+  {
+    const std::string text = Text(aName, false);
+    if (text.empty()) {
+      return aDefault;
+    }
+    if (const auto value = ValueOf(aTable, text)) {
+      return *value;
+    }
+    std::string choices;
+    for (const auto& it : aTable) {
+      choices += (choices.empty() ? "" : ", ") + std::string(it.name);
+    }
+    throw FieldError{ Label(aName) + " is \"" + text + "\"; it must be one of " + choices };
+  }
+
+  const Json* Array(const char* aName)
+  {
+    const Json* it = Take(aName, false);
+    if (it && !it->is_array()) {
+      throw FieldError{ Label(aName) + " must be an array" };
+    }
+    return it;
+  }
+
+  void Finish()
+  {
+    for (const auto& [key, value] : mObject.items()) {
+      if (!mSeen.contains(key)) {
+        throw FieldError{ mWhere + ": unknown field \"" + key + "\"" };
+      }
+    }
+  }
+
+private:
+  std::string Label(const char* aName) const { return mWhere + ": field \"" + aName + "\""; }
+
+  const Json* Take(const char* aName, bool aRequired)
+  {
+    mSeen.insert(aName);
+    const auto it = mObject.find(aName);
+    if (it != mObject.end()) {
+      return &*it;
+    }
+    if (aRequired) {
+      throw FieldError{ Label(aName) + " is missing" };
+    }
+    return nullptr;
+  }
+
+  const Json& mObject;
+  std::string mWhere;
+  std::set<std::string> mSeen;
+};
+
+Json
+ToJson(const EntryHeader& aHeader, EntryKind aKind)
+{
+  return Json{ { "kind", NameOf(kEntryKindNames, aKind) },
+               { "name", aHeader.name },
+               { "owner", aHeader.owner },
+               { "revision", aHeader.revision } };
+}
+
+void
+AddFields(Json& aJson, const ServiceEntry& aEntry)
+{
+  aJson["version"] = aEntry.version;
+}
+
+void
+AddFields(Json& aJson, const RouteEntry& aEntry)
+{
+  aJson["path_prefix"] = aEntry.pathPrefix;
+  aJson["service"] = aEntry.service;
+  aJson["limit"] = aEntry.limit;
+  aJson["class"] = NameOf(kCallClassNames, aEntry.callClass);
+  aJson["timeout_ms"] = aEntry.timeout.count();
+  aJson["slow_after_ms"] = aEntry.slowAfter.count();
+}
+
+void
+AddFields(Json& aJson, const LimitEntry& aEntry)
+{
+  aJson["rate_per_second"] = aEntry.ratePerSecond;
+  aJson["burst"] = aEntry.burst;
+}
+
+void
+AddFields(Json& aJson, const MoveEntry& aEntry)
+{
+  aJson["service"] = aEntry.service;
+  aJson["from_version"] = aEntry.fromVersion;
+  aJson["to_version"] = aEntry.toVersion;
+  aJson["start_at"] = aEntry.startAt;
+  aJson["done_by"] = aEntry.doneBy;
+  aJson["canary_share"] = aEntry.canaryShare;
+  aJson["bake_ms"] = aEntry.bake.count();
+  aJson["state"] = NameOf(kMoveStateNames, aEntry.state);
+  aJson["reason"] = aEntry.reason;
+}
+
+Json
+ToJson(const Entry& aEntry)
+{
+  Json json = ToJson(HeaderOf(aEntry), IdOf(aEntry).kind);
+  std::visit([&json](const auto& it) { AddFields(json, it); }, aEntry);
+  return json;
+}
+
+Entry
+ReadService(FieldReader& aReader)
+{
+  ServiceEntry entry;
+  entry.version = aReader.Text("version");
+  return entry;
+}
+
+Entry
+ReadRoute(FieldReader& aReader)
+{
+  RouteEntry entry;
+  entry.pathPrefix = aReader.Text("path_prefix");
+  entry.service = aReader.Text("service");
+  entry.limit = aReader.Text("limit", false);
+  entry.callClass = aReader.Name("class", kCallClassNames, entry.callClass);
+  entry.timeout = Milliseconds(aReader.Integer("timeout_ms", entry.timeout.count()));
+  entry.slowAfter = Milliseconds(aReader.Integer("slow_after_ms", entry.slowAfter.count()));
+  return entry;
+}
+
+Entry
+ReadLimit(FieldReader& aReader)
+{
+  LimitEntry entry;
+  entry.ratePerSecond = aReader.Number("rate_per_second", 0);
+  entry.burst = aReader.Number("burst", entry.burst);
+  return entry;
+}
+
+Entry
+ReadMove(FieldReader& aReader)
+{
+  MoveEntry entry;
+  entry.service = aReader.Text("service");
+  entry.fromVersion = aReader.Text("from_version");
+  entry.toVersion = aReader.Text("to_version");
+  entry.startAt = aReader.Integer("start_at", 0);
+  entry.doneBy = aReader.Integer("done_by", 0);
+  entry.canaryShare = aReader.Number("canary_share", entry.canaryShare);
+  entry.bake = Milliseconds(aReader.Integer("bake_ms", 0));
+  entry.state = aReader.Name("state", kMoveStateNames, entry.state);
+  entry.reason = aReader.Text("reason", false);
+  return entry;
+}
+
+using EntryReader = Entry (*)(FieldReader&);
+constexpr std::array<EntryReader, 4> kEntryReaders{ ReadService, ReadRoute, ReadLimit, ReadMove };
+
+Entry
+EntryFrom(const Json& aJson, const std::string& aWhere)
+{
+  std::string where = aWhere;
+  if (aJson.is_object() && aJson.contains("kind") && aJson.contains("name") &&
+      aJson["kind"].is_string() && aJson["name"].is_string()) {
+    where += " " + aJson["kind"].get<std::string>() + "/" + aJson["name"].get<std::string>();
+  }
+  FieldReader reader(aJson, where);
+  if (!ValueOf(kEntryKindNames, reader.Text("kind"))) {
+    throw FieldError{ where + ": field \"kind\" must be one of service, route, limit, move" };
+  }
+  const auto kind = reader.Name("kind", kEntryKindNames, EntryKind::kService);
+  EntryHeader header;
+  header.name = reader.Text("name");
+  header.owner = reader.Text("owner");
+  header.revision = static_cast<std::uint64_t>(reader.Integer("revision", 0));
+  Entry entry = kEntryReaders[static_cast<std::size_t>(kind)](reader);
+  reader.Finish();
+  HeaderOf(entry) = header;
+  return entry;
+}
+
+EntryId
+IdFrom(const std::string& aText, const std::string& aWhere)
+{
+  if (auto id = EntryId::Parse(aText)) {
+    return *id;
+  }
+  throw FieldError{ aWhere + ": \"" + aText + "\" is not of the form kind/name" };
+}
+
+/** Runs a parser, turning its exceptions into a reason. */
+template<typename T, typename Parser>
+std::optional<T>
+Guarded(const std::string& aJson, ConfigReason& aReason, Parser aParser)
+{
+  try {
+    return aParser(Json::parse(aJson));
+  } catch (const FieldError& e) {
+    aReason.Set(ConfigError::kMalformed, e.message);
+  } catch (const Json::exception& e) {
+    aReason.Set(ConfigError::kMalformed, std::string("not valid JSON: ") + e.what());
+  }
+  return std::nullopt;
+}
+
+std::vector<Entry>
+EntriesFrom(const Json* aArray)
+{
+  std::vector<Entry> entries;
+  if (aArray) {
+    for (std::size_t n = 0; n < aArray->size(); ++n) {
+      entries.push_back(EntryFrom((*aArray)[n], "entry " + std::to_string(n + 1)));
+    }
+  }
+  return entries;
+}
+
+Json
+ToJson(const std::vector<Entry>& aEntries)
+{
+  Json array = Json::array();
+  for (const auto& it : aEntries) {
+    array.push_back(ToJson(it));
+  }
+  return array;
+}
+
+} // namespace
+
+std::string
+EncodeEntry(const Entry& aEntry)
+{
+  return ToJson(aEntry).dump();
+}
+
+std::optional<Entry>
+DecodeEntry(const std::string& aJson, ConfigReason& aReason)
+{
+  return Guarded<Entry>(aJson, aReason, [](const Json& it) { return EntryFrom(it, "entry"); });
+}
+
+std::string
+EncodeChange(const Change& aChange)
+{
+  Json removals = Json::array();
+  for (const auto& it : aChange.removals) {
+    removals.push_back(it.ToString());
+  }
+  return Json{ { "version", aChange.version },
+               { "operation_id", aChange.operationId },
+               { "digest", aChange.digest },
+               { "upserts", ToJson(aChange.upserts) },
+               { "removals", removals } }
+    .dump();
+}
+
+std::optional<Change>
+DecodeChange(const std::string& aJson, ConfigReason& aReason)
+{
+  return Guarded<Change>(aJson, aReason, [](const Json& aParsed) {
+    FieldReader reader(aParsed, "change");
+    Change change;
+    change.version = static_cast<std::uint64_t>(reader.Integer("version", 0));
+    change.operationId = reader.Text("operation_id");
+    change.digest = reader.Text("digest");
+    change.upserts = EntriesFrom(reader.Array("upserts"));
+    if (const Json* removals = reader.Array("removals")) {
+      for (const auto& it : *removals) {
+        change.removals.push_back(IdFrom(it.get<std::string>(), "change"));
+      }
+    }
+    reader.Finish();
+    return change;
+  });
+}
+
+std::string
+EncodeSnapshot(const Snapshot& aSnapshot)
+{
+  Json entries = Json::array();
+  for (const auto& [id, entry] : aSnapshot.entries) {
+    entries.push_back(ToJson(entry));
+  }
+  return Json{ { "version", aSnapshot.version },
+               { "digest", aSnapshot.Digest() },
+               { "entries", entries } }
+    .dump();
+}
+
+std::optional<Snapshot>
+DecodeSnapshot(const std::string& aJson, ConfigReason& aReason)
+{
+  std::string digest;
+  auto snapshot = Guarded<Snapshot>(aJson, aReason, [&digest](const Json& aParsed) {
+    FieldReader reader(aParsed, "snapshot");
+    Snapshot result;
+    result.version = static_cast<std::uint64_t>(reader.Integer("version", 0));
+    digest = reader.Text("digest");
+    for (auto& it : EntriesFrom(reader.Array("entries"))) {
+      result.entries.insert_or_assign(IdOf(it), it);
+    }
+    reader.Finish();
+    return result;
+  });
+  if (snapshot && snapshot->Digest() != digest) {
+    aReason.Set(ConfigError::kDigestMismatch,
+                "snapshot " + std::to_string(snapshot->version) + " does not have digest " +
+                  digest);
+    return std::nullopt;
+  }
+  return snapshot;
+}
+
+std::optional<ChangeRequest>
+DecodeChangeRequest(const std::string& aJson, ConfigReason& aReason)
+{
+  return Guarded<ChangeRequest>(aJson, aReason, [](const Json& aParsed) {
+    FieldReader reader(aParsed, "request");
+    ChangeRequest request;
+    request.operationId = reader.Text("operation_id");
+    request.upserts = EntriesFrom(reader.Array("entries"));
+    std::set<EntryId> named;
+    const auto addName = [&named](const EntryId& aId) {
+      if (!named.insert(aId).second) {
+        throw FieldError{ "request: entry " + aId.ToString() + " is named twice" };
+      }
+    };
+    for (const auto& it : request.upserts) {
+      addName(IdOf(it));
+    }
+    if (const Json* removals = reader.Array("remove")) {
+      for (const auto& it : *removals) {
+        FieldReader removal(it, "removal");
+        ChangeRequest::Removal item;
+        item.id = IdFrom(removal.Text("id"), "removal");
+        item.revision = static_cast<std::uint64_t>(removal.Integer("revision", 0));
+        removal.Finish();
+        addName(item.id);
+        request.removals.push_back(item);
+      }
+    }
+    reader.Finish();
+    if (request.operationId.empty() || (request.upserts.empty() && request.removals.empty())) {
+      throw FieldError{ "request: needs an operation_id and at least one entry or removal" };
+    }
+    return request;
+  });
+}
+
+} // namespace knapweedpaddle::config
--- /dev/null
+++ b/src/nodes/LinkClient.cpp
@@ -0,0 +1,313 @@
+#include "knapweedpaddle/nodes/LinkClient.h"
+
+#include "LinkSession.h"
+#include "knapweedpaddle/nodes/MemberRecord.h"
+#include "knapweedpaddle/runtime/EventLoop.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <netinet/tcp.h>
+#include <nghttp2/nghttp2.h>
+#include <unordered_map>
+
+namespace knapweedpaddle::nodes {
+
+using runtime::EventLoop;
+
+class LinkClient::Impl
+{
+public:
+  struct Connection
+  {
+    std::string address;
+    std::unique_ptr<LinkSession> session;
+    std::unordered_map<std::int32_t, RequestId> requests; ///< by stream
+    bool connected = false;
+    bool closing = false; ///< takes no new requests
+    bool pingOutstanding = false;
+    EventLoop::TimerId timer = 0;
+    Timestamp lastUsed;
+  };
+
+  struct Request
+  {
+    Connection* connection = nullptr; ///< null when no stream was opened
+    std::int32_t stream = -1;
+    EventLoop::TimerId timer = 0;
+    Callback callback;
+  };
+
+  Impl(EventLoop& aLoop, LinkClientOptions aOptions)
+    : mLoop(aLoop)
+    , mOptions(aOptions)
+  {
+  }
+
+  RequestId Send(const std::string& aAddress, const LinkRequest& aRequest, Callback aCallback)
+  {
+    const RequestId id = ++mLastId;
+    Request& request = mRequests[id];
+    request.callback = std::move(aCallback);
+    request.timer = mLoop.RunAfter(aRequest.timeout, [this, id] { OnTimeout(id); });
+    Connection* connection = Usable(aAddress);
+    const std::int32_t stream = connection ? connection->session->SubmitRequest(aRequest) : -1;
+    if (stream < 0) {
+      mLoop.Post([this, id, aAddress] {
+        Finish(id, std::nullopt, LinkError::kNotSent, "no link to " + aAddress);
+      });
+      return id;
+    }
+    // Submitting may have failed the connection, which is then gone already.
+    if (!mConnections.contains(connection)) {
+      mLoop.Post([this, id, aAddress] {
+        Finish(id, std::nullopt, LinkError::kBroken, "link to " + aAddress + " broke");
+      });
+      return id;
+    }
+    request.connection = connection;
+    request.stream = stream;
+    connection->requests[stream] = id;
+    connection->lastUsed = std::chrono::steady_clock::now();
+    return id;
+  }
+
+  void Cancel(RequestId aRequest)
+  {
+    const auto it = mRequests.find(aRequest);
+    if (it == mRequests.end()) {
+      return;
+    }
+    mLoop.Cancel(it->second.timer);
+    Connection* connection = it->second.connection;
+    const std::int32_t stream = it->second.stream;
+    mRequests.erase(it);
+    if (connection) {
+      connection->requests.erase(stream);
+      connection->session->ResetStream(stream, NGHTTP2_CANCEL);
+    }
+  }
+
+  std::uint64_t SilentLinks() const { return mSilentLinks; }
+
+private:
+  Connection* Usable(const std::string& aAddress)
+  {
+    if (const auto it = mByAddress.find(aAddress); it != mByAddress.end()) {
+      return it->second;
+    }
+    return Connect(aAddress);
+  }
+
+  Connection* Connect(const std::string& aAddress)
+  {
+    const auto node = ParseNodeId(aAddress);
+    if (!node) {
+      return nullptr;
+    }
+    const auto value = static_cast<std::uint64_t>(*node);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(value));
+    address.sin_addr.s_addr = htonl(static_cast<std::uint32_t>(value >> 16));
+    bufferevent* buffer = bufferevent_socket_new(mLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (bufferevent_socket_connect(
+          buffer, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+      bufferevent_free(buffer);
+      return nullptr;
+    }
+    const int on = 1;
+    setsockopt(bufferevent_getfd(buffer), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+
+    auto owned = std::make_shared<Connection>();
+    Connection* connection = owned.get();
+    connection->address = aAddress;
+    connection->session = std::make_unique<LinkSession>(
+      LinkSession::Role::kClient, buffer, HandlerFor(connection));
+    connection->timer =
+      mLoop.RunAfter(mOptions.connectTimeout, [this, connection] { OnTimer(connection); });
+    mConnections.emplace(connection, std::move(owned));
+    mByAddress[aAddress] = connection;
+    return connection;
+  }
+
+  LinkSession::Handler HandlerFor(Connection* aConnection)
+  {
+    LinkSession::Handler handler;
+    handler.onConnected = [this, aConnection] {
+      aConnection->connected = true;
+      RestartTimer(aConnection, mOptions.pingEvery);
+    };
+    handler.onMessage = [this, aConnection](std::int32_t aStream) {
+      OnResponse(*aConnection, aStream);
+    };
+    handler.onStreamClosed = [this, aConnection](std::int32_t aStream, std::uint32_t aCode) {
+      OnStreamClosed(*aConnection, aStream, aCode);
+    };
+    handler.onPong = [aConnection] { aConnection->pingOutstanding = false; };
+    handler.onGoAway = [this, aConnection] { StopUsing(aConnection); };
+    handler.onClosed = [this, aConnection](const std::string& aWhy) {
+      Drop(aConnection, LinkError::kBroken, aWhy);
+    };
+    return handler;
+  }
+
+  void RestartTimer(Connection* aConnection, Milliseconds aDelay)
+  {
+    mLoop.Cancel(aConnection->timer);
+    aConnection->timer = mLoop.RunAfter(aDelay, [this, aConnection] { OnTimer(aConnection); });
+  }
+
+  void OnTimer(Connection* aConnection)
+  {
+    if (!aConnection->connected) {
+      Drop(aConnection, LinkError::kNotSent, "connect timed out");
+      return;
+    }
+    if (aConnection->pingOutstanding) {
+      ++mSilentLinks;
+      Drop(aConnection, LinkError::kSilent, "the link went silent");
+      return;
+    }
+    const auto idle = std::chrono::steady_clock::now() - aConnection->lastUsed;
+    if (aConnection->requests.empty() && (aConnection->closing || idle > mOptions.idleClose)) {
+      Drop(aConnection, LinkError::kBroken, "idle");
+      return;
+    }
+    aConnection->pingOutstanding = true;
+    // The timer first: a ping that fails drops the connection.
+    RestartTimer(aConnection, mOptions.pingTimeout);
+    aConnection->session->SendPing();
+  }
+
+  void StopUsing(Connection* aConnection)
+  {
+    aConnection->closing = true;
+    if (const auto it = mByAddress.find(aConnection->address);
+        it != mByAddress.end() && it->second == aConnection) {
+      mByAddress.erase(it);
+    }
+  }
+
+  void OnResponse(Connection& aConnection, std::int32_t aStream)
+  {
+    const auto it = aConnection.requests.find(aStream);
+    if (it == aConnection.requests.end()) {
+      return;
+    }
+    const RequestId id = it->second;
+    aConnection.requests.erase(it);
+    LinkSession::Stream* stream = aConnection.session->Find(aStream);
+    LinkResponse response{ stream->status, std::move(stream->headers), std::move(stream->body) };
+    Finish(id, std::move(response), LinkError::kBroken, "");
+  }
+
+  void OnStreamClosed(Connection& aConnection, std::int32_t aStream, std::uint32_t aCode)
+  {
+    const auto it = aConnection.requests.find(aStream);
+    if (it == aConnection.requests.end()) {
+      return;
+    }
+    const RequestId id = it->second;
+    aConnection.requests.erase(it);
+    const LinkSession::Stream* stream = aConnection.session->Find(aStream);
+    LinkError code = LinkError::kBroken;
+    if (aCode == NGHTTP2_REFUSED_STREAM) {
+      code = LinkError::kRefused;
+    } else if (stream && stream->tooLarge) {
+      code = LinkError::kTooLarge;
+    }
+    Finish(id, std::nullopt, code, "stream to " + aConnection.address + " was reset");
+  }
+
+  void OnTimeout(RequestId aRequest)
+  {
+    const auto it = mRequests.find(aRequest);
+    if (it == mRequests.end()) {
+      return;
+    }
+    Connection* connection = it->second.connection;
+    const std::int32_t stream = it->second.stream;
+    const bool sent = connection && connection->connected;
+    if (connection) {
+      connection->requests.erase(stream);
+    }
+    Finish(aRequest,
+           std::nullopt,
+           sent ? LinkError::kTimeout : LinkError::kNotSent,
+           "no answer in time");
+    if (connection && mConnections.contains(connection)) {
+      connection->session->ResetStream(stream, NGHTTP2_CANCEL);
+    }
+  }
+
+  void Finish(RequestId aRequest,
+              std::optional<LinkResponse> aResponse,
+              LinkError aCode,
+              const std::string& aWhy)
+  {
+    const auto it = mRequests.find(aRequest);
+    if (it == mRequests.end()) {
+      return;
+    }
+    mLoop.Cancel(it->second.timer);
+    const Callback callback = std::move(it->second.callback);
+    mRequests.erase(it);
+    LinkReason reason;
+    reason.Set(aCode, aWhy);
+    callback(std::move(aResponse), reason);
+  }
+
+  void Drop(Connection* aConnection, LinkError aCode, const std::string& aWhy)
+  {
+    const auto it = mConnections.find(aConnection);
+    if (it == mConnections.end()) {
+      return;
+    }
+    const auto connection = it->second;
+    mConnections.erase(it);
+    StopUsing(aConnection);
+    mLoop.Cancel(connection->timer);
+    const LinkError code = connection->connected ? aCode : LinkError::kNotSent;
+    // The session may be on the call stack, so callbacks and its end come later.
+    mLoop.Post([this, connection, code, aWhy] {
+      for (const auto& [stream, id] : std::exchange(connection->requests, {})) {
+        Finish(id, std::nullopt, code, connection->address + ": " + aWhy);
+      }
+    });
+  }
+
+  EventLoop& mLoop;
+  LinkClientOptions mOptions;
+  RequestId mLastId = 0;
+  std::uint64_t mSilentLinks = 0;
+  std::unordered_map<RequestId, Request> mRequests;
+  std::unordered_map<Connection*, std::shared_ptr<Connection>> mConnections;
+  std::unordered_map<std::string, Connection*> mByAddress;
+};
+
+LinkClient::LinkClient(EventLoop& aLoop, LinkClientOptions aOptions)
+  : mImpl(std::make_unique<Impl>(aLoop, aOptions))
+{
+}
+
+LinkClient::~LinkClient() = default;
+
+LinkClient::RequestId
+LinkClient::Send(const std::string& aAddress, const LinkRequest& aRequest, Callback aCallback)
+{
+  return mImpl->Send(aAddress, aRequest, std::move(aCallback));
+}
+
+void
+LinkClient::Cancel(RequestId aRequest)
+{
+  mImpl->Cancel(aRequest);
+}
+
+std::uint64_t
+LinkClient::SilentLinks() const
+{
+  return mImpl->SilentLinks();
+}
+
+} // namespace knapweedpaddle::nodes
--- /dev/null
+++ b/src/nodes/LinkServer.cpp
@@ -0,0 +1,203 @@
+#include "knapweedpaddle/nodes/LinkServer.h"
+
+#include "LinkSession.h"
+#include "knapweedpaddle/runtime/EventLoop.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <unordered_map>
+
+namespace knapweedpaddle::nodes {
+
+namespace {
+
+constexpr int kBacklog = 512;
+
+void
+DisableNagle(evutil_socket_t aSocket)
+{
+  const int on = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+} // namespace
+
+class LinkServer::Impl
+{
+public:
+  class Responder;
+
+  struct Connection
+  {
+    std::unique_ptr<LinkSession> session;
+    std::unordered_map<std::int32_t, std::weak_ptr<Responder>> responders;
+  };
+
+  class Responder : public LinkResponder
+  {
+  public:
+    Responder(std::weak_ptr<Connection> aConnection, std::int32_t aStream)
+      : mConnection(std::move(aConnection))
+      , mStream(aStream)
+    {
+    }
+
+    void Respond(const LinkResponse& aResponse) override
+    {
+      mOnCancel = nullptr;
+      if (const auto connection = mConnection.lock(); connection && !mAnswered) {
+        mAnswered = true;
+        connection->session->SubmitResponse(mStream, aResponse);
+      }
+    }
+
+    void OnCancel(std::function<void()> aTask) override { mOnCancel = std::move(aTask); }
+
+    void Cancel()
+    {
+      mAnswered = true;
+      if (const auto task = std::exchange(mOnCancel, nullptr)) {
+        task();
+      }
+    }
+
+  private:
+    std::weak_ptr<Connection> mConnection;
+    std::int32_t mStream;
+    bool mAnswered = false;
+    std::function<void()> mOnCancel;
+  };
+
+  Impl(runtime::EventLoop& aLoop, Handler aHandler)
+    : mLoop(aLoop)
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  ~Impl()
+  {
+    if (mListener) {
+      evconnlistener_free(mListener);
+    }
+  }
+
+  std::optional<std::uint16_t> Listen(const std::string& aAddress, std::uint16_t aPort)
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aPort);
+    inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr);
+    mListener = evconnlistener_new_bind(mLoop.Base(),
+                                        &Impl::OnAccept,
+                                        this,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
+                                          LEV_OPT_REUSEABLE,
+                                        kBacklog,
+                                        reinterpret_cast<sockaddr*>(&address),
+                                        sizeof(address));
+    if (!mListener) {
+      return std::nullopt;
+    }
+    socklen_t size = sizeof(address);
+    getsockname(evconnlistener_get_fd(mListener), reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+  }
+
+  void GoAway()
+  {
+    for (const auto& [raw, connection] : mConnections) {
+      connection->session->SendGoAway();
+    }
+  }
+
+private:
+  static void OnAccept(evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf)
+  {
+    auto* self = static_cast<Impl*>(aSelf);
+    DisableNagle(aSocket);
+    bufferevent* buffer =
+      bufferevent_socket_new(self->mLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+    auto connection = std::make_shared<Connection>();
+    Connection* raw = connection.get();
+    LinkSession::Handler handler;
+    handler.onMessage = [self, raw](std::int32_t aStream) { self->OnRequest(*raw, aStream); };
+    handler.onStreamClosed = [self, raw](std::int32_t aStream, std::uint32_t) {
+      self->CancelStream(*raw, aStream);
+    };
+    handler.onClosed = [self, raw](const std::string&) { self->Drop(raw); };
+    connection->session =
+      std::make_unique<LinkSession>(LinkSession::Role::kServer, buffer, std::move(handler));
+    self->mConnections.emplace(raw, std::move(connection));
+  }
+
+  void OnRequest(Connection& aConnection, std::int32_t aStream)
+  {
+    LinkSession::Stream* stream = aConnection.session->Find(aStream);
+    LinkRequest request;
+    request.path = std::move(stream->path);
+    request.headers = std::move(stream->headers);
+    request.body = std::move(stream->body);
+    const auto owner = mConnections.at(&aConnection);
+    const auto responder = std::make_shared<Responder>(owner, aStream);
+    aConnection.responders[aStream] = responder;
+    mHandler(std::move(request), responder);
+  }
+
+  void CancelStream(Connection& aConnection, std::int32_t aStream)
+  {
+    const auto it = aConnection.responders.find(aStream);
+    if (it == aConnection.responders.end()) {
+      return;
+    }
+    const auto responder = it->second.lock();
+    aConnection.responders.erase(it);
+    if (responder) {
+      responder->Cancel();
+    }
+  }
+
+  void Drop(Connection* aConnection)
+  {
+    const auto it = mConnections.find(aConnection);
+    if (it == mConnections.end()) {
+      return;
+    }
+    // The session is on the call stack, so it is destroyed by a later task.
+    auto connection = it->second;
+    mConnections.erase(it);
+    for (auto& [stream, weak] : std::exchange(connection->responders, {})) {
+      if (const auto responder = weak.lock()) {
+        responder->Cancel();
+      }
+    }
+    mLoop.Post([connection] {});
+  }
+
+  runtime::EventLoop& mLoop;
+  Handler mHandler;
+  evconnlistener* mListener = nullptr;
+  std::unordered_map<Connection*, std::shared_ptr<Connection>> mConnections;
+};
+
+LinkServer::LinkServer(runtime::EventLoop& aLoop, Handler aHandler)
+  : mImpl(std::make_unique<Impl>(aLoop, std::move(aHandler)))
+{
+}
+
+LinkServer::~LinkServer() = default;
+
+std::optional<std::uint16_t>
+LinkServer::Listen(const std::string& aAddress, std::uint16_t aPort)
+{
+  return mImpl->Listen(aAddress, aPort);
+}
+
+void
+LinkServer::GoAway()
+{
+  mImpl->GoAway();
+}
+
+} // namespace knapweedpaddle::nodes
--- /dev/null
+++ b/src/nodes/LinkSession.cpp
@@ -0,0 +1,335 @@
+#include "LinkSession.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <nghttp2/nghttp2.h>
+
+namespace knapweedpaddle::nodes {
+
+namespace {
+
+constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
+constexpr std::uint32_t kMaxStreams = 4096;
+constexpr std::size_t kMaxHeaderCount = 64;
+
+nghttp2_nv
+Field(const std::string& aName, const std::string& aValue)
+{
+  return nghttp2_nv{ reinterpret_cast<std::uint8_t*>(const_cast<char*>(aName.data())),
+                     reinterpret_cast<std::uint8_t*>(const_cast<char*>(aValue.data())),
+                     aName.size(),
+                     aValue.size(),
+                     NGHTTP2_NV_FLAG_NONE };
+}
+
+/** Pseudo header fields first, then the message's own. */
+std::vector<nghttp2_nv>
+Fields(const std::vector<LinkHeader>& aPseudo, const std::vector<LinkHeader>& aHeaders)
+{
+  std::vector<nghttp2_nv> fields;
+  for (const auto* list : { &aPseudo, &aHeaders }) {
+    for (const auto& it : *list) {
+      fields.push_back(Field(it.name, it.value));
+    }
+  }
+  return fields;
+}
+
+} // namespace
+
+/** The C callbacks of nghttp2 and libevent. */
+struct LinkSessionCallbacks
+{
+  static LinkSession& Self(void* aSelf) { return *static_cast<LinkSession*>(aSelf); }
+
+  static int OnBeginHeaders(nghttp2_session*, const nghttp2_frame* aFrame, void* aSelf)
+  {
+    auto& self = Self(aSelf);
+    if (self.mRole == LinkSession::Role::kServer) {
+      self.mStreams.try_emplace(aFrame->hd.stream_id);
+    }
+    return 0;
+  }
+
+  static int OnHeader(nghttp2_session*,
+                      const nghttp2_frame* aFrame,
+                      const std::uint8_t* aName,
+                      std::size_t aNameSize,
+                      const std::uint8_t* aValue,
+                      std::size_t aValueSize,
+                      std::uint8_t,
+                      void* aSelf)
+  {
+    LinkSession::Stream* stream = Self(aSelf).Find(aFrame->hd.stream_id);
+    if (!stream) {
+      return 0;
+    }
+    std::string name(reinterpret_cast<const char*>(aName), aNameSize);
+    std::string value(reinterpret_cast<const char*>(aValue), aValueSize);
+    if (name == ":path") {
+      stream->path = std::move(value);
+    } else if (name == ":status") {
+      std::from_chars(value.data(), value.data() + value.size(), stream->status);
+    } else if (name[0] != ':' && stream->headers.size() < kMaxHeaderCount) {
+      stream->headers.push_back({ std::move(name), std::move(value) });
+    }
+    return 0;
+  }
+
+  static int OnData(nghttp2_session* aSession,
+                    std::uint8_t,
+                    std::int32_t aStream,
+                    const std::uint8_t* aData,
+                    std::size_t aSize,
+                    void* aSelf)
+  {
+    LinkSession::Stream* stream = Self(aSelf).Find(aStream);
+    if (!stream) {
+      return 0;
+    }
+    if (stream->body.size() + aSize > kMaxLinkBodyBytes) {
+      stream->tooLarge = true;
+      nghttp2_submit_rst_stream(aSession, NGHTTP2_FLAG_NONE, aStream, NGHTTP2_CANCEL);
+      return 0;
+    }
+    stream->body.append(reinterpret_cast<const char*>(aData), aSize);
+    return 0;
+  }
+
+  static int OnFrame(nghttp2_session*, const nghttp2_frame* aFrame, void* aSelf)
+  {
+    auto& self = Self(aSelf);
+    switch (aFrame->hd.type) {
+      case NGHTTP2_DATA:
+      case NGHTTP2_HEADERS:
+        if (LinkSession::Stream* stream = self.Find(aFrame->hd.stream_id);
+            stream && (aFrame->hd.flags & NGHTTP2_FLAG_END_STREAM)) {
+          stream->complete = true;
+          self.mHandler.onMessage(aFrame->hd.stream_id);
+        }
+        break;
+      case NGHTTP2_PING:
+        if ((aFrame->hd.flags & NGHTTP2_FLAG_ACK) && self.mHandler.onPong) {
+          self.mHandler.onPong();
+        }
+        break;
+      case NGHTTP2_GOAWAY:
+        if (self.mHandler.onGoAway) {
+          self.mHandler.onGoAway();
+        }
+        break;
+      default:
+        break;
+    }
+    return 0;
+  }
+
+  static int OnStreamClose(nghttp2_session*,
+                           std::int32_t aStream,
+                           std::uint32_t aErrorCode,
+                           void* aSelf)
+  {
+    auto& self = Self(aSelf);
+    self.mHandler.onStreamClosed(aStream, aErrorCode);
+    self.mStreams.erase(aStream);
+    return 0;
+  }
+
+  static ssize_t ReadBody(nghttp2_session*,
+                          std::int32_t aStream,
+                          std::uint8_t* aBuffer,
+                          std::size_t aLength,
+                          std::uint32_t* aFlags,
+                          nghttp2_data_source*,
+                          void* aSelf)
+  {
+    LinkSession::Stream* stream = Self(aSelf).Find(aStream);
+    if (!stream) {
+      return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    }
+    const std::size_t n = std::min(aLength, stream->outgoing.size() - stream->outgoingSent);
+    std::memcpy(aBuffer, stream->outgoing.data() + stream->outgoingSent, n);
+    stream->outgoingSent += n;
+    if (stream->outgoingSent == stream->outgoing.size()) {
+      *aFlags |= NGHTTP2_DATA_FLAG_EOF;
+    }
+    return static_cast<ssize_t>(n);
+  }
+
+  static void OnReadable(bufferevent* aBuffer, void* aSelf)
+  {
+    auto& self = Self(aSelf);
+    evbuffer* input = bufferevent_get_input(aBuffer);
+    const std::size_t size = evbuffer_get_length(input);
+    const std::uint8_t* data = evbuffer_pullup(input, -1);
+    self.mInsideLibrary = true;
+    const ssize_t used = nghttp2_session_mem_recv(self.mSession, data, size);
+    self.mInsideLibrary = false;
+    if (used < 0) {
+      self.Fail(std::string("protocol error: ") + nghttp2_strerror(static_cast<int>(used)));
+      return;
+    }
+    evbuffer_drain(input, static_cast<std::size_t>(used));
+    self.Flush();
+  }
+
+  static void OnEvent(bufferevent*, short aWhat, void* aSelf)
+  {
+    auto& self = Self(aSelf);
+    if (aWhat & BEV_EVENT_CONNECTED) {
+      self.mConnected = true;
+      self.Flush();
+      if (self.mHandler.onConnected) {
+        self.mHandler.onConnected();
+      }
+      return;
+    }
+    self.Fail((aWhat & BEV_EVENT_EOF) ? "closed by the peer" : "connection error");
+  }
+};
+
+LinkSession::LinkSession(Role aRole, bufferevent* aBuffer, Handler aHandler)
+  : mRole(aRole)
+  , mBuffer(aBuffer)
+  , mHandler(std::move(aHandler))
+  , mConnected(aRole == Role::kServer)
+{
+  nghttp2_session_callbacks* callbacks = nullptr;
+  nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
+                                                          &LinkSessionCallbacks::OnBeginHeaders);
+  nghttp2_session_callbacks_set_on_header_callback(callbacks, &LinkSessionCallbacks::OnHeader);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
+                                                            &LinkSessionCallbacks::OnData);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &LinkSessionCallbacks::OnFrame);
+  nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
+                                                         &LinkSessionCallbacks::OnStreamClose);
+  if (aRole == Role::kServer) {
+    nghttp2_session_server_new(&mSession, callbacks, this);
+  } else {
+    nghttp2_session_client_new(&mSession, callbacks, this);
+  }
+  nghttp2_session_callbacks_del(callbacks);
+
+  const std::array<nghttp2_settings_entry, 2> settings{ {
+    { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams },
+    { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kWindowBytes },
+  } };
+  nghttp2_submit_settings(mSession, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+  nghttp2_session_set_local_window_size(mSession, NGHTTP2_FLAG_NONE, 0, kWindowBytes);
+
+  bufferevent_setcb(
+    mBuffer, &LinkSessionCallbacks::OnReadable, nullptr, &LinkSessionCallbacks::OnEvent, this);
+  bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
+  Flush();
+}
+
+LinkSession::~LinkSession()
+{
+  nghttp2_session_del(mSession);
+  bufferevent_free(mBuffer);
+}
+
+std::int32_t
+LinkSession::SubmitRequest(const LinkRequest& aRequest)
+{
+  const std::vector<LinkHeader> pseudo{ { ":method", "POST" },
+                                        { ":scheme", "http" },
+                                        { ":authority", "node" },
+                                        { ":path", aRequest.path } };
+  const auto fields = Fields(pseudo, aRequest.headers);
+  nghttp2_data_provider provider{};
+  provider.read_callback = &LinkSessionCallbacks::ReadBody;
+  const std::int32_t stream =
+    nghttp2_submit_request(mSession, nullptr, fields.data(), fields.size(), &provider, nullptr);
+  if (stream < 0) {
+    return -1;
+  }
+  mStreams[stream].outgoing = aRequest.body;
+  Flush();
+  return stream;
+}
+
+void
+LinkSession::SubmitResponse(std::int32_t aStream, const LinkResponse& aResponse)
+{
+  Stream* stream = Find(aStream);
+  if (!stream || mFailed) {
+    return;
+  }
+  const std::vector<LinkHeader> pseudo{ { ":status", std::to_string(aResponse.status) } };
+  const auto fields = Fields(pseudo, aResponse.headers);
+  stream->outgoing = aResponse.body;
+  nghttp2_data_provider provider{};
+  provider.read_callback = &LinkSessionCallbacks::ReadBody;
+  nghttp2_submit_response(mSession, aStream, fields.data(), fields.size(), &provider);
+  Flush();
+}
+
+void
+LinkSession::ResetStream(std::int32_t aStream, std::uint32_t aErrorCode)
+{
+  nghttp2_submit_rst_stream(mSession, NGHTTP2_FLAG_NONE, aStream, aErrorCode);
+  Flush();
+}
+
+void
+LinkSession::SendPing()
+{
+  nghttp2_submit_ping(mSession, NGHTTP2_FLAG_NONE, nullptr);
+  Flush();
+}
+
+void
+LinkSession::SendGoAway()
+{
+  const std::int32_t last = nghttp2_session_get_last_proc_stream_id(mSession);
+  nghttp2_submit_goaway(mSession, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+  Flush();
+}
+
+LinkSession::Stream*
+LinkSession::Find(std::int32_t aStream)
+{
+  const auto it = mStreams.find(aStream);
+  return it == mStreams.end() ? nullptr : &it->second;
+}
+
+void
+LinkSession::Flush()
+{
+  // nghttp2 must not be entered again from its own callbacks; OnReadable() and
+  // the loop below send what callbacks submitted. Nothing is framed before the
+  // connection stands, so that a request given up by then is never sent.
+  if (mFailed || mInsideLibrary || !mConnected) {
+    return;
+  }
+  mInsideLibrary = true;
+  const std::uint8_t* data = nullptr;
+  while (true) {
+    const ssize_t size = nghttp2_session_mem_send(mSession, &data);
+    if (size <= 0) {
+      break;
+    }
+    bufferevent_write(mBuffer, data, static_cast<std::size_t>(size));
+  }
+  mInsideLibrary = false;
+  if (!nghttp2_session_want_read(mSession) && !nghttp2_session_want_write(mSession)) {
+    Fail("session ended");
+  }
+}
+
+void
+LinkSession::Fail(const std::string& aWhy)
+{
+  if (!mFailed) {
+    mFailed = true;
+    mHandler.onClosed(aWhy);
+  }
+}
+
+} // namespace knapweedpaddle::nodes
--- /dev/null
+++ b/src/nodes/ZoneReaders.cpp
@@ -0,0 +1,53 @@
+#include "knapweedpaddle/nodes/ZoneReaders.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace knapweedpaddle::nodes {
+
+namespace {
+
+std::uint64_t
+Score(const std::string& aDuty, NodeId aNode)
+{
+  return XXH3_64bits_withSeed(aDuty.data(), aDuty.size(), static_cast<std::uint64_t>(aNode));
+}
+
+bool
+CanHoldDuty(const MemberRecord& aRecord)
+{
+  return aRecord.state == MemberState::kWarm || aRecord.state == MemberState::kServing;
+}
+
+} // namespace
+
+std::vector<NodeId>
+DutyHolders(const Membership& aMembership,
+            const std::string& aZone,
+            const std::string& aDuty,
+            std::size_t aCount)
+{
+  std::vector<NodeId> nodes;
+  for (const auto& [id, member] : aMembership.Members()) {
+    if (member.liveness == Liveness::kAlive && member.record.zone == aZone &&
+        CanHoldDuty(member.record)) {
+      nodes.push_back(id);
+    }
+  }
+  const MemberRecord& self = aMembership.Self();
+  if (self.zone == aZone && CanHoldDuty(self)) {
+    nodes.push_back(self.node);
+  }
+  std::ranges::sort(nodes, std::ranges::greater{}, [&aDuty](NodeId it) { return Score(aDuty, it); });
+  nodes.resize(std::min(nodes.size(), aCount));
+  return nodes;
+}
+
+bool
+HoldsDuty(const Membership& aMembership, const std::string& aDuty, std::size_t aCount)
+{
+  const auto nodes = DutyHolders(aMembership, aMembership.Self().zone, aDuty, aCount);
+  return std::ranges::find(nodes, aMembership.Self().node) != nodes.end();
+}
+
+} // namespace knapweedpaddle::nodes
--- /dev/null
+++ b/src/telemetry/Log.cpp
@@ -0,0 +1,70 @@
+#include "knapweedpaddle/telemetry/Log.h"
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace knapweedpaddle::telemetry {
+
+namespace {
+
+std::string
+Quoted(const std::string& aValue)
+{
+  if (!aValue.empty() && aValue.find_first_of(" =\"\n") == std::string::npos) {
+    return aValue;
+  }
+  std::string quoted = "\"";
+  for (const char c : aValue) {
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+    }
+    quoted += c == '\n' ? ' ' : c;
+  }
+  return quoted + "\"";
+}
+
+using Writer = void (*)(const std::string&);
+
+constexpr std::array<Writer, 4> kWriters{
+  [](const std::string& aLine) { LOG(DEBUG) << aLine; },
+  [](const std::string& aLine) { LOG(INFO) << aLine; },
+  [](const std::string& aLine) { LOG(WARNING) << aLine; },
+  [](const std::string& aLine) { LOG(ERROR) << aLine; },
+};
+
+} // namespace
+
+void
+StartLog(LogLevel aLevel)
+{
+  el::Configurations configuration;
+  configuration.setToDefault();
+  configuration.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
+  configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  static constexpr std::array<el::Level, 4> kLevels{
+    el::Level::Debug, el::Level::Info, el::Level::Warning, el::Level::Error
+  };
+  for (std::size_t n = 0; n < static_cast<std::size_t>(aLevel); ++n) {
+    configuration.set(kLevels[n], el::ConfigurationType::Enabled, "false");
+  }
+  el::Loggers::reconfigureLogger("default", configuration);
+}
+
+void
+LogEvent(LogCategory aCategory,
+         LogLevel aLevel,
+         const std::string& aEvent,
+         std::initializer_list<LogField> aFields)
+{
+  std::string line = "level=" + std::string(NameOf(kLogLevelNames, aLevel)) +
+                     " category=" + std::string(NameOf(kLogCategoryNames, aCategory)) +
+                     " event=" + aEvent;
+  for (const auto& it : aFields) {
+    line += " " + it.key + "=" + Quoted(it.value);
+  }
+  kWriters[static_cast<std::size_t>(aLevel)](line);
+}
+
+} // namespace knapweedpaddle::telemetry
