Serve the whole path: operator, platform stand-in, nodes, caller, backend server

Cause: the parts were not joined. Known: a node now and then ends with SIGSEGV at its graceful stop; next.

--- /dev/null
+++ b/apps/knapweed/ApiClient.cpp
@@ -0,0 +1,56 @@
+#include "ApiClient.h"
+
+namespace knapweedpaddle::cli {
+
+ApiClient::ApiClient(std::string aNode, std::string aToken, int aTimeoutMs)
+  : mNode(std::move(aNode))
+  , mToken(std::move(aToken))
+  , mTimeoutMs(aTimeoutMs)
+  , mHttp(mLoop, 1)
+{
+}
+
+ApiAnswer
+ApiClient::Get(const std::string& aPath)
+{
+  runtime::HttpRequest request;
+  request.url = aPath;
+  return Send(std::move(request));
+}
+
+ApiAnswer
+ApiClient::Post(const std::string& aPath, const std::string& aBody)
+{
+  runtime::HttpRequest request;
+  request.method = "POST";
+  request.url = aPath;
+  request.body = aBody;
+  return Send(std::move(request));
+}
+
+ApiAnswer
+ApiClient::Send(runtime::HttpRequest aRequest)
+{
+  aRequest.url = "http://" + mNode + aRequest.url;
+  aRequest.timeout = Milliseconds(mTimeoutMs);
+  if (!mToken.empty()) {
+    aRequest.headers.push_back({ "Authorization", "Bearer " + mToken });
+  }
+  ApiAnswer answer;
+  mHttp.Send(std::move(aRequest),
+             [this, &answer](const std::optional<runtime::HttpResponse>& aResponse,
+                             const runtime::HttpReason& aReason) {
+               if (aResponse) {
+                 answer.status = aResponse->status;
+                 answer.text = aResponse->body;
+                 answer.json = Json::parse(aResponse->body, nullptr, false);
+               } else {
+                 answer.text = aReason.message;
+               }
+               mLoop.Stop();
+             });
+  mLoop.Run();
+  return answer;
+}
+
+} // namespace knapweedpaddle::cli
--- /dev/null
+++ b/include/knapweedpaddle/backends/CallOwner.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "knapweedpaddle/backends/ClaimService.h"
+#include "knapweedpaddle/backends/SlotQueue.h"
+#include "knapweedpaddle/callers/Call.h"
+#include "knapweedpaddle/runtime/EventLoop.h"
+#include "knapweedpaddle/runtime/HttpClient.h"
+#include "knapweedpaddle/telemetry/Metrics.h"
+#include "knapweedpaddle/telemetry/Tracer.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace knapweedpaddle::backends {
+
+/** A call as its ingress node sends it to the owner of a backend server. */
+struct OwnedCall
+{
+  std::string callId;
+  std::string service;
+  std::string version;
+  std::string route;
+  config::CallClass callClass = config::CallClass::kIdempotent;
+  std::string idempotencyKey;
+  Timestamp deadline;
+  Milliseconds slowAfter{ 100 };
+  telemetry::TraceContext trace;
+  std::string method;
+  std::string path;
+  std::vector<callers::HttpHeader> headers;
+  std::string body;
+};
+
+/** The backend server that announced itself to this node. */
+struct BackendServer
+{
+  std::string address; ///< "IP:port"
+  std::string service;
+  std::string version;
+  std::uint32_t slots = 0;
+
+  bool operator==(const BackendServer&) const = default;
+};
+
+/** Names the calls whose results are summed together. */
+struct EvidenceKey
+{
+  std::string version;
+  std::string route;
+
+  auto operator<=>(const EvidenceKey&) const = default;
+};
+
+/** Results of calls since the process started. */
+struct EvidenceSums
+{
+  std::uint64_t calls = 0;
+  std::uint64_t failures = 0; ///< status 500 and above, and calls without an answer
+  std::uint64_t slow = 0;     ///< slower than the route's slow_after_ms
+
+  bool operator==(const EvidenceSums&) const = default;
+};
+
+using EvidenceTable = std::map<EvidenceKey, EvidenceSums>;
+
+/**
+ * The only gate to the node's own backend server. Whatever is refused here
+ * before dispatch was never sent, so "not-run" is true by construction.
+ *
+ * Thread safety: the traffic thread only.
+ */
+class CallOwner
+{
+public:
+  struct Services
+  {
+    runtime::EventLoop& loop;
+    ClaimService& claims;
+    telemetry::Metrics& metrics;
+    telemetry::Tracer& tracer;
+  };
+
+  CallOwner(Services aServices, std::uint32_t aCheckSlots);
+  ~CallOwner();
+  CallOwner(const CallOwner&) = delete;
+  CallOwner& operator=(const CallOwner&) = delete;
+
+  /** Sets the backend server, or nothing when its announcements ceased. */
+  void SetBackend(std::optional<BackendServer> aBackend);
+
+  using RunId = std::uint64_t;
+
+  /** Runs a call; the callback runs once, never from inside Run(). */
+  RunId Run(OwnedCall aCall, callers::CallCallback aCallback);
+
+  /** Gives up a call whose caller left; its callback never runs. */
+  void Cancel(RunId aRun);
+
+  /** Refuses all further calls; those dispatched go on. */
+  void Drain();
+
+  /** Number of calls not answered yet. */
+  std::size_t InFlight() const;
+
+  std::uint32_t BusySlots() const;
+
+  const EvidenceTable& Evidence() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace knapweedpaddle::backends
--- /dev/null
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "knapweedpaddle/common/Time.h"
+#include "knapweedpaddle/config/Entry.h"
+
+#include <deque>
+#include <functional>
+#include <optional>
+
+/** The node's own backend server: its slots, health and calls. */
+namespace knapweedpaddle::backends {
+
+enum class SlotRefusal
+{
+  kQueueFull,
+  kDeadlineTooNear, ///< the wait would outlast the deadline
+  kDraining,
+};
+
+inline constexpr std::array<EnumName<SlotRefusal>, 3> kSlotRefusalNames{ {
+  { SlotRefusal::kQueueFull, "queue_full" },
+  { SlotRefusal::kDeadlineTooNear, "deadline_too_near" },
+  { SlotRefusal::kDraining, "draining" },
+} };
+
+/** A call that wants a slot. */
+struct SlotRequest
+{
+  std::uint64_t id = 0; ///< unique among the calls present
+  config::CallClass callClass = config::CallClass::kIdempotent;
+  Timestamp deadline;
+};
+
+/**
+ * Admits calls to the backend server's slots. Some slots are kept for calls of
+ * class check, which also wait before all others. A call is refused at once
+ * when the wait that the recent service time suggests would outlast its
+ * deadline.
+ *
+ * Thread safety: the traffic thread only.
+ */
+class SlotQueue
+{
+public:
+  /** Called when a queued call got a slot, or can't get one any more. */
+  using Granted = std::function<void(std::uint64_t aId, std::optional<SlotRefusal>)>;
+
+  SlotQueue(std::uint32_t aCheckSlots, Granted aGranted);
+
+  /** Sets the number of slots; 0 while no backend server is known. */
+  void SetSlots(std::uint32_t aSlots);
+
+  enum class Answer
+  {
+    kTaken,  ///< the call has a slot now
+    kQueued, ///< the callback tells
+  };
+
+  /** @return nothing, with the reason in aRefusal, when the call is refused. */
+  std::optional<Answer> Request(const SlotRequest& aRequest,
+                                Timestamp aNow,
+                                SlotRefusal& aRefusal);
+
+  /** Gives a slot back and grants it to the next call. */
+  void Release(Milliseconds aServiceTime, Timestamp aNow);
+
+  /** Forgets a queued call; true when it was queued. */
+  bool Abandon(std::uint64_t aId);
+
+  /** Refuses queued calls whose deadline passed. */
+  void Expire(Timestamp aNow);
+
+  /** Refuses all new and queued calls from now on. */
+  void Drain();
+
+  std::uint32_t Busy() const { return mBusy; }
+  std::uint32_t Slots() const { return mSlots; }
+  std::size_t Queued() const { return mChecks.size() + mOthers.size(); }
+
+private:
+  bool HasSlotFor(config::CallClass aClass) const;
+  Milliseconds ExpectedWait() const;
+  void GrantNext(Timestamp aNow);
+
+  std::uint32_t mCheckSlots;
+  Granted mGranted;
+  std::uint32_t mSlots = 0;
+  std::uint32_t mBusy = 0;
+  double mServiceMs = 1; ///< moving average
+  bool mDraining = false;
+  std::deque<SlotRequest> mChecks;
+  std::deque<SlotRequest> mOthers;
+};
+
+} // namespace knapweedpaddle::backends
--- /dev/null
+++ b/include/knapweedpaddle/moves/VersionTest.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+namespace knapweedpaddle::moves {
+
+/** Counts of calls, and of those among them that were bad, in one interval. */
+struct CallCounts
+{
+  std::uint64_t calls = 0;
+  std::uint64_t bad = 0;
+};
+
+struct VersionTestOptions
+{
+  double tolerance = 0.02;    ///< share of bad calls that is never held against a version
+  double oldFactor = 1.5;     ///< times the old version's share that is allowed
+  double threshold = 16;      ///< log likelihood ratio that condemns
+  double memory = 0.97;       ///< share of the old version's counts kept each interval
+  std::uint64_t leastOld = 20; ///< old calls needed for a comparison
+  double aloneTolerance = 0.05; ///< allowed when the old version has no calls to compare
+};
+
+/**
+ * Sequential test of a new version's share of bad calls against the old
+ * version's in the same time: a CUSUM of log likelihood ratios over a grid of
+ * worse shares. It finds faults that are there at once and faults that begin
+ * later. While the new version is within the allowed share, one interval
+ * condemns it with a probability of at most kAlternatives * exp(-threshold).
+ *
+ * Thread safety: one thread.
+ */
+class VersionTest
+{
+public:
+  explicit VersionTest(VersionTestOptions aOptions);
+
+  /** Adds one interval; true once the new version is condemned. */
+  bool Add(const CallCounts& aBefore, const CallCounts& aAfter);
+
+  /** Returns the strongest evidence as a share of the threshold, 0 to 1 and above. */
+  double Suspicion() const;
+
+  /** Returns the share of bad calls allowed at present. */
+  double Allowed() const;
+
+  static constexpr std::size_t kAlternatives = 6;
+
+private:
+  VersionTestOptions mOptions;
+  double mOldCalls = 0;
+  double mOldBad = 0;
+  std::array<double, kAlternatives> mSums{};
+  bool mCondemned = false;
+};
+
+} // namespace knapweedpaddle::moves
--- /dev/null
+++ b/include/knapweedpaddle/node/ServingGate.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "knapweedpaddle/common/Time.h"
+
+#include <cstdint>
+#include <optional>
+
+/** Puts the parts of a node together. */
+namespace knapweedpaddle::node {
+
+/**
+ * Decides when a node that started, or that was paused, may serve: once it
+ * holds the newest version that the platform or its peers know of, or remember
+ * this node's address to have held. So no address goes back to an older
+ * version.
+ *
+ * Thread safety: control thread only.
+ */
+class ServingGate
+{
+public:
+  /** Closes the gate and forgets what was learned. */
+  void Begin(Timestamp aNow);
+
+  void NotePlatform(std::uint64_t aHead);
+  void NotePeer(std::uint64_t aVersion, std::uint64_t aRemembered);
+
+  /** Notes that every peer asked has answered or timed out. */
+  void NotePeersAsked();
+
+  /**
+   * Opens the gate when that is safe.
+   *
+   * @param aOwnVersion  version that the node holds.
+   * @return true once it is open.
+   */
+  bool Update(std::uint64_t aOwnVersion, Timestamp aNow);
+
+  bool IsOpen() const { return mOpen; }
+
+  /** The lowest version that the node may serve, as far as is known. */
+  std::uint64_t Floor() const { return mFloor; }
+
+private:
+  bool mOpen = false;
+  Timestamp mBegan{};
+  std::uint64_t mFloor = 0;
+  bool mPlatformAnswered = false;
+  bool mPeerAnswered = false;
+  bool mPeersAsked = false;
+};
+
+} // namespace knapweedpaddle::node
--- /dev/null
+++ b/include/knapweedpaddle/nodes/CallCodec.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "knapweedpaddle/backends/CallOwner.h"
+#include "knapweedpaddle/nodes/Link.h"
+
+namespace knapweedpaddle::nodes {
+
+/** Path of calls on a link. */
+inline constexpr const char* kCallPath = "/call";
+
+/**
+ * Encodes a call for its owner. The deadline travels as remaining time.
+ *
+ * @pre aCall.deadline is later than aNow.
+ */
+LinkRequest
+EncodeCall(const backends::OwnedCall& aCall, Timestamp aNow);
+
+/** Decodes a call; nothing, with a reason, for a peer that speaks otherwise. */
+std::optional<backends::OwnedCall>
+DecodeCall(LinkRequest aRequest, Timestamp aNow, std::string& aReason);
+
+/** Encodes an owner's answer with its present load in busy slots. */
+LinkResponse
+EncodeCallResult(const callers::CallResult& aResult, std::uint32_t aBusySlots);
+
+struct DecodedCallResult
+{
+  callers::CallResult result;
+  std::uint32_t busySlots = 0;
+};
+
+/**
+ * Decodes an answer and checks that it is whole and belongs to the call.
+ *
+ * @return nothing for an answer that can't be trusted.
+ */
+std::optional<DecodedCallResult>
+DecodeCallResult(LinkResponse aResponse, const std::string& aCallId);
+
+} // namespace knapweedpaddle::nodes
--- /dev/null
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "knapweedpaddle/config/Snapshot.h"
+#include "knapweedpaddle/nodes/MemberRecord.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/** Where a call goes, and whether it may go again. */
+namespace knapweedpaddle::routing {
+
+/** A node that owns a backend server, as a place to send calls. */
+struct Target
+{
+  nodes::NodeId node = nodes::kNoNode;
+  std::string linkAddress; ///< "IP:port"
+  std::string zone;
+  std::string version;
+  std::uint32_t slots = 0;
+  bool suspect = false; ///< the failure detector doubts the node
+};
+
+/** How a service's calls are split between two versions. */
+struct VersionShare
+{
+  std::string fromVersion;
+  std::string toVersion; ///< empty without a move
+  double share = 0;      ///< of idempotent and check calls that go to toVersion
+  double onceShare = 0;  ///< of at most once calls
+  bool condemned = false;
+};
+
+/** Everything that traffic threads need, made by the control thread. Immutable once shared. */
+struct RoutingView
+{
+  config::SnapshotPtr config;
+  std::map<std::string, std::vector<Target>> targets; ///< by service
+  std::map<std::string, VersionShare> shares;         ///< by service
+  bool open = false; ///< the node holds a configuration that it may serve
+
+  /** Returns the route with the longest prefix of a path, or null. */
+  const config::RouteEntry* FindRoute(const std::string& aPath) const;
+
+  /** Returns the versions that calls of a service may reach, preferred first. */
+  std::vector<std::string> VersionsFor(const std::string& aService,
+                                       config::CallClass aClass,
+                                       double aDraw) const;
+};
+
+using RoutingViewPtr = std::shared_ptr<const RoutingView>;
+
+} // namespace knapweedpaddle::routing
--- /dev/null
+++ b/include/knapweedpaddle/routing/TokenBucket.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "knapweedpaddle/common/Time.h"
+
+namespace knapweedpaddle::routing {
+
+/** A token bucket on a clock passed in. Thread safety: one thread. */
+class TokenBucket
+{
+public:
+  /**
+   * @param aRatePerSecond  tokens gained each second.
+   * @param aBurst          most tokens held; the bucket starts full.
+   */
+  TokenBucket(double aRatePerSecond, double aBurst);
+
+  /** Takes one token; false when there is none. Times must not fall. */
+  bool Take(Timestamp aNow);
+
+  /** Adds tokens, up to the burst. */
+  void Add(double aTokens);
+
+private:
+  double mRate;
+  double mBurst;
+  double mTokens;
+  Timestamp mLast{};
+};
+
+} // namespace knapweedpaddle::routing
--- /dev/null
+++ b/src/moves/MoveBoard.cpp
@@ -0,0 +1,119 @@
+#include "knapweedpaddle/moves/MoveBoard.h"
+
+#include "knapweedpaddle/moves/MoveSchedule.h"
+
+#include <algorithm>
+
+namespace knapweedpaddle::moves {
+
+using config::MoveEntry;
+using nodes::MoveProgress;
+
+bool
+MoveBoard::Merge(const MoveProgress& aProgress)
+{
+  const Key key{ aProgress.move, aProgress.revision, aProgress.zone };
+  const auto [it, added] = mProgress.try_emplace(key, aProgress);
+  if (added) {
+    return true;
+  }
+  MoveProgress& known = it->second;
+  bool news = false;
+  if (aProgress.stage > known.stage) {
+    known.stage = std::min(aProgress.stage, kLastStage);
+    news = true;
+  }
+  if (aProgress.condemned && !known.condemned) {
+    known.condemned = true;
+    known.reason = aProgress.reason;
+    news = true;
+  }
+  return news;
+}
+
+void
+MoveBoard::Prune(const config::Snapshot& aSnapshot)
+{
+  std::erase_if(mProgress, [&aSnapshot](const auto& aItem) {
+    const auto* move =
+      aSnapshot.Get<MoveEntry>(config::EntryKind::kMove, aItem.first.move);
+    if (!move) {
+      // The entry may be newer than this node's configuration.
+      return aItem.first.revision <= aSnapshot.version;
+    }
+    return move->header.revision > aItem.first.revision ||
+           (move->header.revision == aItem.first.revision &&
+            move->state != config::MoveState::kOpen);
+  });
+}
+
+std::uint32_t
+MoveBoard::StageIn(const MoveEntry& aMove, const std::string& aZone) const
+{
+  const auto it = mProgress.find({ aMove.header.name, aMove.header.revision, aZone });
+  return it == mProgress.end() ? 0 : it->second.stage;
+}
+
+std::optional<std::string>
+MoveBoard::Verdict(const MoveEntry& aMove) const
+{
+  for (const auto& it : Of(aMove)) {
+    if (it.condemned) {
+      return it.reason;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+MoveBoard::IsBakedIn(const MoveEntry& aMove, const std::set<std::string>& aZones) const
+{
+  return std::ranges::all_of(
+    aZones, [&](const std::string& aZone) { return StageIn(aMove, aZone) >= kLastStage; });
+}
+
+std::map<std::string, routing::VersionShare>
+MoveBoard::Shares(const config::Snapshot& aSnapshot, const std::string& aZone) const
+{
+  std::map<std::string, routing::VersionShare> shares;
+  for (const auto& [id, entry] : aSnapshot.entries) {
+    const auto* service = std::get_if<config::ServiceEntry>(&entry);
+    if (!service) {
+      continue;
+    }
+    routing::VersionShare& share = shares[service->header.name];
+    share.fromVersion = service->version;
+    if (const MoveEntry* move = aSnapshot.OpenMoveOf(service->header.name)) {
+      const std::uint32_t stage = StageIn(*move, aZone);
+      share.toVersion = move->toVersion;
+      share.share = ShareAt(*move, stage);
+      share.onceShare = OnceShareAt(*move, stage);
+      share.condemned = Verdict(*move).has_value();
+    }
+  }
+  return shares;
+}
+
+std::vector<MoveProgress>
+MoveBoard::All() const
+{
+  std::vector<MoveProgress> all;
+  for (const auto& [key, progress] : mProgress) {
+    all.push_back(progress);
+  }
+  return all;
+}
+
+std::vector<MoveProgress>
+MoveBoard::Of(const MoveEntry& aMove) const
+{
+  std::vector<MoveProgress> found;
+  for (const auto& [key, progress] : mProgress) {
+    if (key.move == aMove.header.name && key.revision == aMove.header.revision) {
+      found.push_back(progress);
+    }
+  }
+  return found;
+}
+
+} // namespace knapweedpaddle::moves
--- /dev/null
+++ b/src/moves/MoveSchedule.cpp
@@ -0,0 +1,63 @@
+#include "knapweedpaddle/moves/MoveSchedule.h"
+
+#include <algorithm>
+#include <array>
+
+namespace knapweedpaddle::moves {
+
+namespace {
+
+/** Part of the time between start and bake that the stages are spread over. */
+constexpr double kScheduleShare = 0.8;
+
+/** Shares from Stage::kTenth on. */
+constexpr std::array<double, 5> kShares{ 0.1, 0.25, 0.5, 1.0, 1.0 };
+
+} // namespace
+
+double
+ShareAt(const config::MoveEntry& aMove, std::uint32_t aStage)
+{
+  if (aStage == static_cast<std::uint32_t>(Stage::kWaiting)) {
+    return 0;
+  }
+  if (aStage == static_cast<std::uint32_t>(Stage::kCanary)) {
+    return aMove.canaryShare;
+  }
+  const std::size_t n = std::min<std::size_t>(aStage - 2, kShares.size() - 1);
+  return std::max(aMove.canaryShare, kShares[n]);
+}
+
+double
+OnceShareAt(const config::MoveEntry& aMove, std::uint32_t aStage)
+{
+  if (aStage >= static_cast<std::uint32_t>(Stage::kAll)) {
+    return 1;
+  }
+  return aStage == 0 ? 0 : ShareAt(aMove, aStage - 1);
+}
+
+WallMilliseconds
+StageStart(const config::MoveEntry& aMove, std::uint32_t aStage)
+{
+  if (aStage <= static_cast<std::uint32_t>(Stage::kCanary)) {
+    return aMove.startAt;
+  }
+  const auto last = static_cast<std::uint32_t>(Stage::kAll);
+  const auto window = static_cast<double>(aMove.doneBy - aMove.startAt - aMove.bake.count());
+  const double dwell = std::max(window, 0.0) * kScheduleShare / last;
+  const double steps = std::min(aStage, last) - 1;
+  const WallMilliseconds start = aMove.startAt + static_cast<WallMilliseconds>(dwell * steps);
+  return aStage == kLastStage ? start + aMove.bake.count() : start;
+}
+
+bool
+IsLate(const config::MoveEntry& aMove, std::uint32_t aStage, WallMilliseconds aNow)
+{
+  const auto last = static_cast<std::uint32_t>(Stage::kAll);
+  const std::uint32_t left = aStage < last ? last - aStage : 0;
+  const WallMilliseconds bake = aStage < kLastStage ? aMove.bake.count() : 0;
+  return std::max(aNow, aMove.startAt) + left * kLeastDwell.count() + bake > aMove.doneBy;
+}
+
+} // namespace knapweedpaddle::moves
--- /dev/null
+++ b/src/node/ClaimBridge.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "knapweedpaddle/platform/ClaimBatcher.h"
+#include "knapweedpaddle/runtime/EventLoop.h"
+
+namespace knapweedpaddle::node {
+
+/** Carries claims from the traffic thread to the control thread and back. */
+class ClaimBridge : public backends::ClaimService
+{
+public:
+  ClaimBridge(runtime::EventLoop& aTraffic, runtime::EventLoop& aControl)
+    : mTraffic(aTraffic)
+    , mControl(aControl)
+  {
+  }
+
+  /** Sets who answers the claims. Call before the loops run. */
+  void SetBatcher(platform::ClaimBatcher& aBatcher) { mBatcher = &aBatcher; }
+
+  void Claim(const std::string& aKey, const std::string& aCallId, Callback aCallback) override
+  {
+    mControl.Post([this, aKey, aCallId, callback = std::move(aCallback)] {
+      mBatcher->Claim(aKey, aCallId, [this, callback](backends::ClaimOutcome aOutcome) {
+        mTraffic.Post([callback, aOutcome] { callback(aOutcome); });
+      });
+      mBatcher->Tick(std::chrono::steady_clock::now());
+    });
+  }
+
+private:
+  runtime::EventLoop& mTraffic;
+  runtime::EventLoop& mControl;
+  platform::ClaimBatcher* mBatcher = nullptr;
+};
+
+} // namespace knapweedpaddle::node
--- /dev/null
+++ b/src/node/ServingGate.cpp
@@ -0,0 +1,56 @@
+#include "knapweedpaddle/node/ServingGate.h"
+
+#include <algorithm>
+
+namespace knapweedpaddle::node {
+
+namespace {
+
+/** How long a node that already holds a configuration waits for anybody at all. */
+constexpr Milliseconds kAloneAfter{ 3000 };
+
+} // namespace
+
+void
+ServingGate::Begin(Timestamp aNow)
+{
+  const std::uint64_t floor = mFloor;
+  *this = ServingGate{};
+  mFloor = floor;
+  mBegan = aNow;
+}
+
+void
+ServingGate::NotePlatform(std::uint64_t aHead)
+{
+  mPlatformAnswered = true;
+  mFloor = std::max(mFloor, aHead);
+}
+
+void
+ServingGate::NotePeer(std::uint64_t aVersion, std::uint64_t aRemembered)
+{
+  mPeerAnswered = true;
+  mFloor = std::max({ mFloor, aVersion, aRemembered });
+}
+
+void
+ServingGate::NotePeersAsked()
+{
+  mPeersAsked = true;
+}
+
+bool
+ServingGate::Update(std::uint64_t aOwnVersion, Timestamp aNow)
+{
+  if (mOpen) {
+    return true;
+  }
+  const bool heard = mPlatformAnswered || (mPeerAnswered && mPeersAsked);
+  // Without anybody in reach a fresh node holds nothing, and so stays closed.
+  const bool alone = aOwnVersion > 0 && aNow - mBegan >= kAloneAfter;
+  mOpen = aOwnVersion >= mFloor && (heard || alone);
+  return mOpen;
+}
+
+} // namespace knapweedpaddle::node
--- /dev/null
+++ b/src/node/TrafficPlane.cpp
@@ -0,0 +1,174 @@
+#include "TrafficPlane.h"
+
+#include "knapweedpaddle/nodes/CallCodec.h"
+
+namespace knapweedpaddle::node {
+
+using nodes::LinkRequest;
+using nodes::LinkResponderPtr;
+using nodes::LinkResponse;
+
+namespace {
+
+constexpr Milliseconds kTick{ 50 };
+constexpr Milliseconds kLongestGap{ 2000 };
+constexpr Milliseconds kStaleGap{ 250 };
+constexpr Milliseconds kEvidenceEvery{ 500 };
+constexpr int kBadRequest = 400;
+
+nodes::NodeId
+NodeOf(const settings::NodeSettings& aSettings)
+{
+  return *nodes::ParseNodeId(aSettings.address + ":" + std::to_string(aSettings.gossipPort));
+}
+
+} // namespace
+
+TrafficPlane::TrafficPlane(Services aServices,
+                           const settings::NodeSettings& aSettings,
+                           std::uint64_t aSeed)
+  : mServices(std::move(aServices))
+  , mSettings(aSettings)
+  , mPauses(kLongestGap)
+  , mStaleness(kStaleGap)
+  , mOwner({ mServices.loop, mServices.claims, mServices.metrics, mServices.tracer },
+           aSettings.checkSlots)
+  , mLinks(mServices.loop, nodes::LinkClientOptions{})
+  , mForwarder({ mServices.loop,
+                 mLinks,
+                 mOwner,
+                 mServices.metrics,
+                 mServices.tracer,
+                 mServices.journal },
+               { NodeOf(aSettings), aSettings.zone },
+               aSeed)
+  , mServer(mServices.loop, [this](LinkRequest aRequest, const LinkResponderPtr& aResponder) {
+    OnLinkRequest(std::move(aRequest), aResponder);
+  })
+{
+  mServices.loop.RunEvery(kTick, [this] { OnTick(); });
+  mServices.loop.RunEvery(kEvidenceEvery, [this] {
+    if (mOwner.Evidence() != mReported) {
+      mReported = mOwner.Evidence();
+      mServices.onEvidence(mReported);
+    }
+  });
+}
+
+bool
+TrafficPlane::Listen()
+{
+  return mServer.Listen(mSettings.address, mSettings.linkPort).has_value();
+}
+
+void
+TrafficPlane::SetView(routing::RoutingViewPtr aView)
+{
+  mServices.loop.Post([this, view = std::move(aView)] { mForwarder.SetView(view); });
+}
+
+void
+TrafficPlane::SetBackend(std::optional<backends::BackendServer> aBackend)
+{
+  mServices.loop.Post([this, backend = std::move(aBackend)] { mOwner.SetBackend(backend); });
+}
+
+void
+TrafficPlane::Forward(callers::CallRequest aRequest, callers::CallCallback aCallback)
+{
+  const auto request = std::make_shared<callers::CallRequest>(std::move(aRequest));
+  mServices.loop.Post([this, request, callback = std::move(aCallback)] {
+    CloseAfterPause();
+    mForwarder.Forward(std::move(*request), callback);
+  });
+}
+
+void
+TrafficPlane::Drain()
+{
+  mServices.loop.Post([this] {
+    mForwarder.Drain();
+    mOwner.Drain();
+    mServer.GoAway();
+  });
+}
+
+std::size_t
+TrafficPlane::InFlight() const
+{
+  return mForwarder.InFlight() + mOwner.InFlight();
+}
+
+void
+TrafficPlane::OnTick()
+{
+  CloseAfterPause();
+  const Timestamp now = std::chrono::steady_clock::now();
+  mPauses.Tick(now);
+  mStaleness.Tick(now);
+}
+
+void
+TrafficPlane::CloseAfterPause()
+{
+  if (mPauses.TakePause(std::chrono::steady_clock::now())) {
+    mServices.metrics.Count("pauses_total", {});
+    mForwarder.Close();
+    mServices.onPause();
+  }
+}
+
+void
+TrafficPlane::OnLinkRequest(LinkRequest aRequest, const LinkResponderPtr& aResponder)
+{
+  if (aRequest.path == nodes::kCallPath) {
+    OnCall(std::move(aRequest), aResponder);
+    return;
+  }
+  mServices.onControl(std::move(aRequest), [this, aResponder](LinkResponse aResponse) {
+    const auto response = std::make_shared<LinkResponse>(std::move(aResponse));
+    mServices.loop.Post([aResponder, response] { aResponder->Respond(*response); });
+  });
+}
+
+void
+TrafficPlane::OnCall(LinkRequest aRequest, const LinkResponderPtr& aResponder)
+{
+  const Timestamp now = std::chrono::steady_clock::now();
+  std::string reason;
+  auto call = nodes::DecodeCall(std::move(aRequest), now, reason);
+  if (!call) {
+    mServices.metrics.Count("bad_link_requests_total", {});
+    LinkResponse response;
+    response.status = kBadRequest;
+    response.body = reason;
+    aResponder->Respond(response);
+    return;
+  }
+  // A call read after a pause has waited unread for as long as the pause.
+  call->deadline -= mStaleness.StaleBy(now);
+  const auto parent = call->trace;
+  call->trace = mServices.tracer.Child(parent);
+  const auto span = call->trace;
+  const auto startWall = std::chrono::duration_cast<Microseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count();
+  const auto run = mOwner.Run(
+    std::move(*call), [this, aResponder, parent, span, now, startWall](callers::CallResult aResult) {
+      if (span.sampled) {
+        const auto elapsed =
+          std::chrono::duration_cast<Microseconds>(std::chrono::steady_clock::now() - now);
+        mServices.tracer.Record({ span.traceId,
+                                  span.spanId,
+                                  parent.spanId,
+                                  "owner",
+                                  startWall,
+                                  elapsed.count(),
+                                  std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) });
+      }
+      aResponder->Respond(nodes::EncodeCallResult(aResult, mOwner.BusySlots()));
+    });
+  aResponder->OnCancel([this, run] { mOwner.Cancel(run); });
+}
+
+} // namespace knapweedpaddle::node
--- /dev/null
+++ b/src/platform/ClaimBatcher.cpp
@@ -0,0 +1,148 @@
+#include "knapweedpaddle/platform/ClaimBatcher.h"
+
+#include "knapweedpaddle/platform/CatalogueRows.h"
+
+#include <algorithm>
+
+namespace knapweedpaddle::platform {
+
+using backends::ClaimOutcome;
+
+namespace {
+
+constexpr std::size_t kMaxWaiting = 512;
+constexpr std::size_t kMaxBatch = 128;
+constexpr std::int64_t kMillisecondsPerSecond = 1000;
+
+} // namespace
+
+ClaimBatcher::ClaimBatcher(PlatformClient& aPlatform, std::uint32_t aWritesPerSecond)
+  : mPlatform(aPlatform)
+  , mInterval(kMillisecondsPerSecond / std::max<std::int64_t>(aWritesPerSecond, 1))
+{
+}
+
+void
+ClaimBatcher::Claim(const std::string& aKey, const std::string& aCallId, Callback aCallback)
+{
+  Pending pending{ ClaimKey(aKey), aCallId, std::move(aCallback) };
+  if (mWaiting.size() >= kMaxWaiting) {
+    pending.callback(ClaimOutcome::kOverBudget);
+    return;
+  }
+  if (!mHeld.insert(pending.rowKey).second) {
+    pending.callback(ClaimOutcome::kTaken);
+    return;
+  }
+  mWaiting.push_back(std::move(pending));
+}
+
+void
+ClaimBatcher::Tick(Timestamp aNow)
+{
+  if (mBusy || mWaiting.empty() || aNow < mNextWrite) {
+    return;
+  }
+  mNextWrite = aNow + mInterval;
+  Batch batch;
+  while (!mWaiting.empty() && batch.size() < kMaxBatch) {
+    batch.push_back(std::move(mWaiting.front()));
+    mWaiting.pop_front();
+  }
+  Commit(std::move(batch));
+}
+
+void
+ClaimBatcher::Commit(Batch aBatch)
+{
+  if (aBatch.empty()) {
+    mBusy = false;
+    return;
+  }
+  mBusy = true;
+  Transaction transaction;
+  for (const auto& it : aBatch) {
+    transaction.conditions.push_back({ it.rowKey, 0 });
+    transaction.writes.push_back({ it.rowKey, it.callId, false });
+  }
+  mPlatform.Commit(std::move(transaction),
+                   [this, batch = std::move(aBatch)](bool aDone,
+                                                     const PlatformReason& aReason) mutable {
+                     if (aDone) {
+                       for (auto& it : batch) {
+                         Answer(it, ClaimOutcome::kGranted);
+                       }
+                       mBusy = false;
+                       return;
+                     }
+                     switch (aReason.code) {
+                       case PlatformError::kConflict:
+                         OnConflict(std::move(batch), aReason.conflictingKeys);
+                         return;
+                       case PlatformError::kOutcomeUnknown:
+                         Settle(std::move(batch));
+                         return;
+                       default:
+                         for (auto& it : batch) {
+                           Answer(it, ClaimOutcome::kUnavailable);
+                         }
+                         mBusy = false;
+                     }
+                   });
+}
+
+void
+ClaimBatcher::OnConflict(Batch aBatch, const std::vector<std::string>& aTaken)
+{
+  Batch rest;
+  for (auto& it : aBatch) {
+    if (std::ranges::find(aTaken, it.rowKey) != aTaken.end()) {
+      Answer(it, ClaimOutcome::kTaken);
+    } else {
+      rest.push_back(std::move(it));
+    }
+  }
+  if (rest.size() == aBatch.size()) {
+    // The platform did not say which rows conflict.
+    Settle(std::move(rest));
+    return;
+  }
+  Commit(std::move(rest));
+}
+
+void
+ClaimBatcher::Settle(Batch aBatch)
+{
+  std::vector<std::string> keys;
+  keys.reserve(aBatch.size());
+  for (const auto& it : aBatch) {
+    keys.push_back(it.rowKey);
+  }
+  mPlatform.Read(keys,
+                 [this, batch = std::move(aBatch)](const std::optional<std::vector<Row>>& aRows,
+                                                   const PlatformReason&) mutable {
+                   for (auto& it : batch) {
+                     // An absent row may still be written late, so only a row
+                     // that holds this call's id grants the claim.
+                     ClaimOutcome outcome = ClaimOutcome::kUnavailable;
+                     if (aRows) {
+                       const auto row = std::ranges::find(*aRows, it.rowKey, &Row::key);
+                       if (row != aRows->end() && row->revision != 0) {
+                         outcome =
+                           row->value == it.callId ? ClaimOutcome::kGranted : ClaimOutcome::kTaken;
+                       }
+                     }
+                     Answer(it, outcome);
+                   }
+                   mBusy = false;
+                 });
+}
+
+void
+ClaimBatcher::Answer(Pending& aPending, ClaimOutcome aOutcome)
+{
+  mHeld.erase(aPending.rowKey);
+  aPending.callback(aOutcome);
+}
+
+} // namespace knapweedpaddle::platform
--- /dev/null
+++ b/src/routing/TokenBucket.cpp
@@ -0,0 +1,34 @@
+#include "knapweedpaddle/routing/TokenBucket.h"
+
+#include <algorithm>
+
+namespace knapweedpaddle::routing {
+
+TokenBucket::TokenBucket(double aRatePerSecond, double aBurst)
+  : mRate(aRatePerSecond)
+  , mBurst(aBurst)
+  , mTokens(aBurst)
+{
+}
+
+bool
+TokenBucket::Take(Timestamp aNow)
+{
+  if (mLast != Timestamp{} && aNow > mLast) {
+    Add(mRate * std::chrono::duration<double>(aNow - mLast).count());
+  }
+  mLast = aNow;
+  if (mTokens < 1) {
+    return false;
+  }
+  mTokens -= 1;
+  return true;
+}
+
+void
+TokenBucket::Add(double aTokens)
+{
+  mTokens = std::min(mBurst, mTokens + aTokens);
+}
+
+} // namespace knapweedpaddle::routing
--- a/src/runtime/EventLoop.cpp
+++ b/src/runtime/EventLoop.cpp
@@ -60,6 +60,8 @@
 
   ~Impl()
   {
+    // Tasks may own sockets, which must go before the base.
+    mTasks.clear();
     mTimers.clear();
     mWatches.clear();
     mWake.reset();
--- /dev/null
+++ b/tests/standins/Table.cpp
@@ -0,0 +1,60 @@
+#include "Table.h"
+
+namespace knapweedpaddle::standins {
+
+using platform::Row;
+
+std::vector<Row>
+Table::Read(const std::vector<std::string>& aKeys) const
+{
+  std::vector<Row> rows;
+  for (const auto& key : aKeys) {
+    const auto it = mRows.find(key);
+    rows.push_back(it == mRows.end() ? Row{ key, "", 0 } : it->second);
+  }
+  return rows;
+}
+
+std::vector<Row>
+Table::ReadRange(const std::string& aPrefix, const std::string& aFirst, std::size_t aLimit) const
+{
+  std::vector<Row> rows;
+  for (auto it = mRows.lower_bound(std::max(aPrefix, aFirst));
+       it != mRows.end() && it->first.starts_with(aPrefix) && rows.size() < aLimit;
+       ++it) {
+    rows.push_back(it->second);
+  }
+  return rows;
+}
+
+std::vector<std::string>
+Table::Commit(const platform::Transaction& aTransaction)
+{
+  std::vector<std::string> failed;
+  for (const auto& it : aTransaction.conditions) {
+    const auto row = mRows.find(it.key);
+    if ((row == mRows.end() ? 0 : row->second.revision) != it.revision) {
+      failed.push_back(it.key);
+    }
+  }
+  if (!failed.empty()) {
+    return failed;
+  }
+  for (const auto& it : aTransaction.writes) {
+    if (it.remove) {
+      mRows.erase(it.key);
+    } else {
+      mRows[it.key] = Row{ it.key, it.value, ++mRevision };
+    }
+  }
+  return {};
+}
+
+const std::string*
+Table::GetObject(const std::string& aName) const
+{
+  const auto it = mObjects.find(aName);
+  return it == mObjects.end() ? nullptr : &it->second;
+}
+
+} // namespace knapweedpaddle::standins
