--- a/apps/knapweed/ApiClient.cpp
+++ b/apps/knapweed/ApiClient.cpp
@@ -37,18 +37,19 @@
     aRequest.headers.push_back({ "Authorization", "Bearer " + mToken });
   }
   ApiAnswer answer;
-  mHttp.Send(std::move(aRequest),
-             [this, &answer](const std::optional<runtime::HttpResponse>& aResponse,
-                             const runtime::HttpReason& aReason) {
-               if (aResponse) {
-                 answer.status = aResponse->status;
-                 answer.text = aResponse->body;
-                 answer.json = Json::parse(aResponse->body, nullptr, false);
-               } else {
-                 answer.text = aReason.message;
-               }
-               mLoop.Stop();
-             });
+  mHttp.Send(
+    std::move(aRequest),
+    [this, &answer](const std::optional<runtime::HttpResponse>& aResponse,
+                    const runtime::HttpReason& aReason) {
+      if (aResponse) {
+        answer.status = aResponse->status;
+        answer.text = aResponse->body;
+        answer.json = Json::parse(aResponse->body, nullptr, false);
+      } else {
+        answer.text = aReason.message;
+      }
+      mLoop.Stop();
+    });
   mLoop.Run();
   return answer;
 }
--- a/apps/knapweed/Commands.cpp
+++ b/apps/knapweed/Commands.cpp
@@ -29,7 +29,8 @@
 int
 Usage(const std::string& aMessage)
 {
-  std::fprintf(stderr, "knapweed: %s\n\nknapweed %s\n", aMessage.c_str(), kUsage);
+  std::fprintf(
+    stderr, "knapweed: %s\n\nknapweed %s\n", aMessage.c_str(), kUsage);
   return kExitUsage;
 }
 
@@ -49,8 +50,9 @@
 int
 Fail(const ApiAnswer& aAnswer)
 {
-  const std::string message =
-    aAnswer.json.is_object() ? aAnswer.json.value("message", aAnswer.text) : aAnswer.text;
+  const std::string message = aAnswer.json.is_object()
+                                ? aAnswer.json.value("message", aAnswer.text)
+                                : aAnswer.text;
   std::fprintf(stderr, "knapweed: %s\n", message.c_str());
   return ExitCodeFor(aAnswer.status);
 }
@@ -86,12 +88,14 @@
     }
     widths.push_back(width);
   }
-  const auto printRow = [&](const std::function<std::string(const char*)>& aCell) {
-    for (std::size_t n = 0; n < aFields.size(); ++n) {
-      std::printf("%-*s  ", static_cast<int>(widths[n]), aCell(aFields[n]).c_str());
-    }
-    std::printf("\n");
-  };
+  const auto printRow =
+    [&](const std::function<std::string(const char*)>& aCell) {
+      for (std::size_t n = 0; n < aFields.size(); ++n) {
+        std::printf(
+          "%-*s  ", static_cast<int>(widths[n]), aCell(aFields[n]).c_str());
+      }
+      std::printf("\n");
+    };
   printRow([](const char* aName) { return std::string(aName); });
   for (const auto& row : aRows) {
     printRow([&row](const char* aName) { return Field(row, aName); });
@@ -114,7 +118,8 @@
     if (!ReadEntries(aFile, entries)) {
       return kExitUsage;
     }
-    if (const auto answer = mClient.Get("/-/v1/entries"); answer.status == 200) {
+    if (const auto answer = mClient.Get("/-/v1/entries");
+        answer.status == 200) {
       FillRevisions(entries, answer.json["entries"]);
     } else {
       return Fail(answer);
@@ -122,7 +127,10 @@
     return Submit(Json{ { "entries", entries } });
   }
 
-  int Get(const std::string& aId) { return Show(mClient.Get("/-/v1/entries/" + aId)); }
+  int Get(const std::string& aId)
+  {
+    return Show(mClient.Get("/-/v1/entries/" + aId));
+  }
 
   int List()
   {
@@ -141,7 +149,8 @@
     if (answer.status != 200) {
       return Fail(answer);
     }
-    const Json removal{ { "id", aId }, { "revision", answer.json["revision"] } };
+    const Json removal{ { "id", aId },
+                        { "revision", answer.json["revision"] } };
     return Submit(Json{ { "remove", Json::array({ removal }) } });
   }
 
@@ -157,9 +166,14 @@
                 Field(answer.json, "version").c_str(),
                 Field(answer.json, "serving").c_str());
     PrintZones(answer.json);
-    PrintTable(
-      answer.json["members"],
-      { "node", "zone", "service", "version", "state", "liveness", "config_version" });
+    PrintTable(answer.json["members"],
+               { "node",
+                 "zone",
+                 "service",
+                 "version",
+                 "state",
+                 "liveness",
+                 "config_version" });
     return kExitOk;
   }
 
@@ -183,7 +197,9 @@
     if (mOptions.json) {
       std::printf("%s\n", moves.dump(2).c_str());
     } else {
-      PrintTable(moves, { "name", "service", "from_version", "to_version", "state", "reason" });
+      PrintTable(
+        moves,
+        { "name", "service", "from_version", "to_version", "state", "reason" });
     }
     return kExitOk;
   }
@@ -254,7 +270,8 @@
     }
   }
 
-  /** Entries without a revision get the one in force, which the operator is taken to have seen. */
+  /** Entries without a revision get the one in force, which the operator is
+   * taken to have seen. */
   static void FillRevisions(Json& aEntries, const Json& aInForce)
   {
     for (auto& entry : aEntries) {
@@ -262,7 +279,8 @@
         continue;
       }
       for (const auto& it : aInForce) {
-        if (it["kind"] == entry.value("kind", "") && it["name"] == entry.value("name", "")) {
+        if (it["kind"] == entry.value("kind", "") &&
+            it["name"] == entry.value("name", "")) {
           entry["revision"] = it["revision"];
         }
       }
@@ -280,9 +298,10 @@
     }
     const int code = answer.status == 0 ? kExitUnknown : Fail(answer);
     if (code == kExitUnknown) {
-      std::fprintf(stderr,
-                   "knapweed: the outcome is unknown; repeat with --operation_id=%s\n",
-                   operation.c_str());
+      std::fprintf(
+        stderr,
+        "knapweed: the outcome is unknown; repeat with --operation_id=%s\n",
+        operation.c_str());
     }
     return code;
   }
@@ -335,21 +354,53 @@
 {
   using Words = std::vector<std::string>;
   static const std::vector<Command> kCommands{
-    { { "apply" }, 1, [](Session& it, const Words& a) { return it.Apply(a[0]); } },
-    { { "get" }, 1, [](Session& it, const Words& a) { return it.Get(a[0]); } },
-    { { "list" }, 0, [](Session& it, const Words&) { return it.List(); } },
-    { { "delete" }, 1, [](Session& it, const Words& a) { return it.Delete(a[0]); } },
-    { { "history" }, 0, [](Session& it, const Words&) { return it.History(); } },
-    { { "status" }, 0, [](Session& it, const Words&) { return it.Status(); } },
-    { { "move", "start" }, 1, [](Session& it, const Words& a) { return it.MoveStart(a[0]); } },
-    { { "move", "watch" }, 1, [](Session& it, const Words& a) { return it.MoveWatch(a[0]); } },
-    { { "move", "list" }, 0, [](Session& it, const Words&) { return it.MoveList(); } },
+    { { "apply" },
+      1,
+      [](Session& aSession, const Words& aWords) {
+        return aSession.Apply(aWords[0]);
+      } },
+    { { "get" },
+      1,
+      [](Session& aSession, const Words& aWords) {
+        return aSession.Get(aWords[0]);
+      } },
+    { { "list" },
+      0,
+      [](Session& aSession, const Words&) { return aSession.List(); } },
+    { { "delete" },
+      1,
+      [](Session& aSession, const Words& aWords) {
+        return aSession.Delete(aWords[0]);
+      } },
+    { { "history" },
+      0,
+      [](Session& aSession, const Words&) { return aSession.History(); } },
+    { { "status" },
+      0,
+      [](Session& aSession, const Words&) { return aSession.Status(); } },
+    { { "move", "start" },
+      1,
+      [](Session& aSession, const Words& aWords) {
+        return aSession.MoveStart(aWords[0]);
+      } },
+    { { "move", "watch" },
+      1,
+      [](Session& aSession, const Words& aWords) {
+        return aSession.MoveWatch(aWords[0]);
+      } },
+    { { "move", "list" },
+      0,
+      [](Session& aSession, const Words&) { return aSession.MoveList(); } },
     { { "explain", "call" },
       1,
-      [](Session& it, const Words& a) { return it.Explain("call", a[0]); } },
+      [](Session& aSession, const Words& aWords) {
+        return aSession.Explain("call", aWords[0]);
+      } },
     { { "explain", "move" },
       1,
-      [](Session& it, const Words& a) { return it.Explain("move", a[0]); } },
+      [](Session& aSession, const Words& aWords) {
+        return aSession.Explain("move", aWords[0]);
+      } },
   };
   return kCommands;
 }
@@ -372,7 +423,8 @@
     const auto first = aCommand.begin() + static_cast<std::ptrdiff_t>(n);
     return it.run(session, { first, aCommand.end() });
   }
-  return Usage("command \"" + aCommand[0] + "\" does not exist or lacks an argument");
+  return Usage("command \"" + aCommand[0] +
+               "\" does not exist or lacks an argument");
 }
 
 } // namespace knapweedpaddle::cli
--- a/apps/knapweed/main.cpp
+++ b/apps/knapweed/main.cpp
@@ -6,9 +6,18 @@
 #include <cstdio>
 #include <cstdlib>
 
-ABSL_FLAG(std::string, node, "127.0.0.1:7102", "address of any node's caller port (IP:port)");
-ABSL_FLAG(std::string, token, "", "the operator's token (or set KNAPWEED_TOKEN)");
-ABSL_FLAG(std::string, operation_id, "", "repeat an operation whose outcome was unknown");
+ABSL_FLAG(std::string,
+          node,
+          "127.0.0.1:7102",
+          "address of any node's caller port (IP:port)");
+ABSL_FLAG(std::string,
+          token,
+          "",
+          "the operator's token (or set KNAPWEED_TOKEN)");
+ABSL_FLAG(std::string,
+          operation_id,
+          "",
+          "repeat an operation whose outcome was unknown");
 ABSL_FLAG(std::string, output, "table", "table or json");
 ABSL_FLAG(int, timeout_ms, 15000, "longest wait for an answer (ms)");
 
@@ -23,7 +32,8 @@
   Options options;
   options.node = absl::GetFlag(FLAGS_node);
   options.token = absl::GetFlag(FLAGS_token);
-  if (const char* it = std::getenv("KNAPWEED_TOKEN"); it && options.token.empty()) {
+  if (const char* it = std::getenv("KNAPWEED_TOKEN");
+      it && options.token.empty()) {
     options.token = it;
   }
   options.operationId = absl::GetFlag(FLAGS_operation_id);
--- a/include/knapweedpaddle/backends/CallOwner.h
+++ b/include/knapweedpaddle/backends/CallOwner.h
@@ -56,8 +56,9 @@
 struct EvidenceSums
 {
   std::uint64_t calls = 0;
-  std::uint64_t failures = 0; ///< status 500 and above, and calls without an answer
-  std::uint64_t slow = 0;     ///< slower than the route's slow_after_ms
+  std::uint64_t failures =
+    0;                    ///< status 500 and above, and calls without an answer
+  std::uint64_t slow = 0; ///< slower than the route's slow_after_ms
 
   bool operator==(const EvidenceSums&) const = default;
 };
--- a/include/knapweedpaddle/backends/ClaimService.h
+++ b/include/knapweedpaddle/backends/ClaimService.h
@@ -35,7 +35,9 @@
    * Claims a key for a call. The callback runs once, on the calling thread,
    * never from inside Claim().
    */
-  virtual void Claim(const std::string& aKey, const std::string& aCallId, Callback aCallback) = 0;
+  virtual void Claim(const std::string& aKey,
+                     const std::string& aCallId,
+                     Callback aCallback) = 0;
 };
 
 } // namespace knapweedpaddle::backends
--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -43,7 +43,8 @@
 {
 public:
   /** Called when a queued call got a slot, or can't get one any more. */
-  using Granted = std::function<void(std::uint64_t aId, std::optional<SlotRefusal>)>;
+  using Granted =
+    std::function<void(std::uint64_t aId, std::optional<SlotRefusal>)>;
 
   SlotQueue(std::uint32_t aCheckSlots, Granted aGranted);
 
--- a/include/knapweedpaddle/callers/CallerServer.h
+++ b/include/knapweedpaddle/callers/CallerServer.h
@@ -44,7 +44,9 @@
   CallerServer& operator=(const CallerServer&) = delete;
 
   /** Listens and serves; false, with the reason in aReason, when it can't. */
-  bool Start(const std::string& aAddress, std::uint16_t aPort, std::string& aReason);
+  bool Start(const std::string& aAddress,
+             std::uint16_t aPort,
+             std::string& aReason);
 
   /** Stops serving; open connections are closed. */
   void Stop();
--- a/include/knapweedpaddle/common/Time.h
+++ b/include/knapweedpaddle/common/Time.h
@@ -9,7 +9,8 @@
 /** Monotonic time; the only clock that timeouts, leases and deadlines use. */
 using Timestamp = std::chrono::steady_clock::time_point;
 
-/** Wall clock time in milliseconds since the Unix epoch; used by move schedules. */
+/** Wall clock time in milliseconds since the Unix epoch; used by move
+ * schedules. */
 using WallMilliseconds = std::int64_t;
 
 using Milliseconds = std::chrono::milliseconds;
@@ -19,7 +20,8 @@
 inline WallMilliseconds
 WallNow()
 {
-  return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+  return std::chrono::duration_cast<Milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
     .count();
 }
 
--- a/include/knapweedpaddle/config/ConfigError.h
+++ b/include/knapweedpaddle/config/ConfigError.h
@@ -7,10 +7,10 @@
 
 enum class ConfigError
 {
-  kMalformed,      ///< text that is not JSON, or a field of the wrong type
-  kInvalid,        ///< a field out of range or a reference that does not resolve
-  kStale,          ///< not newer than the version held
-  kGap,            ///< a change that does not follow the version held
+  kMalformed, ///< text that is not JSON, or a field of the wrong type
+  kInvalid,   ///< a field out of range or a reference that does not resolve
+  kStale,     ///< not newer than the version held
+  kGap,       ///< a change that does not follow the version held
   kDigestMismatch, ///< contents that are not what was accepted
 };
 
--- a/include/knapweedpaddle/config/Entry.h
+++ b/include/knapweedpaddle/config/Entry.h
@@ -80,7 +80,9 @@
   std::string limit; ///< name of a limit entry, or empty
   CallClass callClass = CallClass::kIdempotent;
   Milliseconds timeout{ 1000 };
-  Milliseconds slowAfter{ 100 }; ///< a call slower than this counts as slow evidence
+  Milliseconds slowAfter{
+    100
+  }; ///< a call slower than this counts as slow evidence
 
   bool operator==(const RouteEntry&) const = default;
 };
--- a/include/knapweedpaddle/config/EntryCodec.h
+++ b/include/knapweedpaddle/config/EntryCodec.h
@@ -39,7 +39,8 @@
 struct ChangeRequest
 {
   std::string operationId;
-  std::vector<Entry> upserts; ///< header.revision is the one that the operator saw, 0 for none
+  std::vector<Entry>
+    upserts; ///< header.revision is the one that the operator saw, 0 for none
   struct Removal
   {
     EntryId id;
--- a/include/knapweedpaddle/config/Snapshot.h
+++ b/include/knapweedpaddle/config/Snapshot.h
@@ -56,8 +56,8 @@
 /**
  * Checks that every field is in range and every reference resolves.
  *
- * @return false, with the first fault in aReason, when the snapshot is not valid.
- * Thread safety: any thread.
+ * @return false, with the first fault in aReason, when the snapshot is not
+ * valid. Thread safety: any thread.
  */
 bool
 Validate(const Snapshot& aSnapshot, ConfigReason& aReason);
--- a/include/knapweedpaddle/moves/EvidenceReport.h
+++ b/include/knapweedpaddle/moves/EvidenceReport.h
@@ -27,7 +27,8 @@
   VersionCounts after;
 };
 
-/** Everything that one owner node counted. A later report replaces an earlier one. */
+/** Everything that one owner node counted. A later report replaces an earlier
+ * one. */
 struct EvidenceReport
 {
   nodes::NodeId node = nodes::kNoNode;
--- a/include/knapweedpaddle/moves/MoveBoard.h
+++ b/include/knapweedpaddle/moves/MoveBoard.h
@@ -25,17 +25,20 @@
   /** Forgets moves that are no longer open at their revision. */
   void Prune(const config::Snapshot& aSnapshot);
 
-  std::uint32_t StageIn(const config::MoveEntry& aMove, const std::string& aZone) const;
+  std::uint32_t StageIn(const config::MoveEntry& aMove,
+                        const std::string& aZone) const;
 
   /** Returns the reason of the verdict against a move, or nothing. */
   std::optional<std::string> Verdict(const config::MoveEntry& aMove) const;
 
   /** True when every one of the zones finished the move. */
-  bool IsBakedIn(const config::MoveEntry& aMove, const std::set<std::string>& aZones) const;
+  bool IsBakedIn(const config::MoveEntry& aMove,
+                 const std::set<std::string>& aZones) const;
 
   /** Returns the split of every service's calls in a zone. */
-  std::map<std::string, routing::VersionShare> Shares(const config::Snapshot& aSnapshot,
-                                                      const std::string& aZone) const;
+  std::map<std::string, routing::VersionShare> Shares(
+    const config::Snapshot& aSnapshot,
+    const std::string& aZone) const;
 
   /** Returns everything, for gossip. */
   std::vector<nodes::MoveProgress> All() const;
--- a/include/knapweedpaddle/moves/MoveSchedule.h
+++ b/include/knapweedpaddle/moves/MoveSchedule.h
@@ -20,7 +20,8 @@
   kBaked = 6, ///< stayed at a share of 1 for the bake time
 };
 
-inline constexpr std::uint32_t kLastStage = static_cast<std::uint32_t>(Stage::kBaked);
+inline constexpr std::uint32_t kLastStage =
+  static_cast<std::uint32_t>(Stage::kBaked);
 
 /** Least time between two stages, whatever the schedule says. */
 inline constexpr Milliseconds kLeastDwell{ 2000 };
@@ -39,6 +40,8 @@
 
 /** True when the stages that are left can't be finished by the entry's time. */
 bool
-IsLate(const config::MoveEntry& aMove, std::uint32_t aStage, WallMilliseconds aNow);
+IsLate(const config::MoveEntry& aMove,
+       std::uint32_t aStage,
+       WallMilliseconds aNow);
 
 } // namespace knapweedpaddle::moves
--- a/include/knapweedpaddle/moves/VersionTest.h
+++ b/include/knapweedpaddle/moves/VersionTest.h
@@ -14,12 +14,15 @@
 
 struct VersionTestOptions
 {
-  double tolerance = 0.02;    ///< share of bad calls that is never held against a version
-  double oldFactor = 1.5;     ///< times the old version's share that is allowed
-  double threshold = 16;      ///< log likelihood ratio that condemns
-  double memory = 0.97;       ///< share of the old version's counts kept each interval
+  double tolerance =
+    0.02; ///< share of bad calls that is never held against a version
+  double oldFactor = 1.5; ///< times the old version's share that is allowed
+  double threshold = 16;  ///< log likelihood ratio that condemns
+  double memory =
+    0.97; ///< share of the old version's counts kept each interval
   std::uint64_t leastOld = 20; ///< old calls needed for a comparison
-  double aloneTolerance = 0.05; ///< allowed when the old version has no calls to compare
+  double aloneTolerance =
+    0.05; ///< allowed when the old version has no calls to compare
 };
 
 /**
@@ -39,7 +42,8 @@
   /** Adds one interval; true once the new version is condemned. */
   bool Add(const CallCounts& aBefore, const CallCounts& aAfter);
 
-  /** Returns the strongest evidence as a share of the threshold, 0 to 1 and above. */
+  /** Returns the strongest evidence as a share of the threshold, 0 to 1 and
+   * above. */
   double Suspicion() const;
 
   /** Returns the share of bad calls allowed at present. */
--- a/include/knapweedpaddle/moves/ZoneJudge.h
+++ b/include/knapweedpaddle/moves/ZoneJudge.h
@@ -13,9 +13,9 @@
 {
   std::string move;
   std::uint32_t stage = 0;
-  bool late = false;                  ///< can't be done by its time any more
-  std::vector<std::string> unproven;  ///< routes with too few calls to judge
-  double suspicion = 0;               ///< strongest evidence against it, 1 condemns
+  bool late = false;                 ///< can't be done by its time any more
+  std::vector<std::string> unproven; ///< routes with too few calls to judge
+  double suspicion = 0; ///< strongest evidence against it, 1 condemns
 };
 
 /**
@@ -43,7 +43,10 @@
                                          WallMilliseconds aNow);
 
   /** Returns the present opinions, for `knapweed explain`. */
-  const std::map<std::string, MoveOpinion>& Opinions() const { return mOpinions; }
+  const std::map<std::string, MoveOpinion>& Opinions() const
+  {
+    return mOpinions;
+  }
 
 private:
   /** The tests of one route and what they were fed so far. */
@@ -51,7 +54,8 @@
   {
     VersionTest failures;
     VersionTest slow;
-    std::uint64_t stageCalls = 0; ///< calls of the new version since the stage began
+    std::uint64_t stageCalls =
+      0; ///< calls of the new version since the stage began
 
     RouteState();
   };
@@ -95,7 +99,8 @@
   std::string mZone;
   std::map<std::string, MoveCase> mCases;
   std::map<OwnerKey, OwnerCounts> mOwners;
-  std::map<std::string, std::map<std::string, Interval>> mIntervals; ///< by move and route
+  std::map<std::string, std::map<std::string, Interval>>
+    mIntervals; ///< by move and route
   std::map<std::string, MoveOpinion> mOpinions;
 };
 
--- /dev/null
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "knapweedpaddle/common/Backoff.h"
+#include "knapweedpaddle/nodes/Membership.h"
+#include "knapweedpaddle/nodes/PeerClient.h"
+#include "knapweedpaddle/platform/PlatformClient.h"
+#include "knapweedpaddle/runtime/Scheduler.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace knapweedpaddle::node {
+
+/**
+ * Finds the other members: by rows in the platform's table, by seed addresses
+ * and by those already known; and drives the failure detector.
+ *
+ * Thread safety: control thread only.
+ */
+class MemberAgent
+{
+public:
+  struct Services
+  {
+    runtime::Scheduler& scheduler;
+    platform::PlatformClient& platform;
+    nodes::PeerClient& peers;
+    std::function<void(const nodes::Datagram&)> send;
+    std::function<nodes::JoinAnswer(const nodes::JoinAnswer&)> completeAnswer;
+    std::function<void(const nodes::JoinAnswer&)> onJoinAnswer;
+    std::function<void()> onPeersAsked;
+  };
+
+  MemberAgent(Services aServices,
+              nodes::MemberRecord aSelf,
+              std::vector<std::string> aSeeds,
+              std::uint64_t aSeed);
+
+  nodes::Membership& Members() { return mMembers; }
+  const nodes::Membership& Members() const { return mMembers; }
+
+  /** Looks for peers and joins some of them; repeats until one has answered. */
+  void Bootstrap();
+
+  /** Advances the failure detector; call every 100 ms. */
+  void Tick();
+
+  /** Handles a datagram's membership part. */
+  void Receive(const nodes::GossipMessage& aMessage);
+
+  /** Answers a peer that joins. */
+  nodes::JoinAnswer OnJoin(const nodes::MemberUpdate& aPeer);
+
+  void Send(const std::vector<nodes::Datagram>& aDatagrams);
+
+  /** Removes this node's row, as its last act. */
+  void RemoveRow();
+
+  /** Returns the link address of a member, or "" for one not known. */
+  std::string LinkAddressOf(nodes::NodeId aNode) const;
+
+private:
+  void ReadRows();
+  void WriteRow();
+  void JoinSome(std::vector<std::string> aAddresses);
+  void OnRoundEnd();
+
+  Services mServices;
+  std::vector<std::string> mSeeds;
+  std::mt19937_64 mRandom;
+  nodes::Membership mMembers;
+  Backoff mBackoff;
+  Timestamp mNextSync;
+  std::uint32_t mOutstanding = 0;
+  bool mRoundAnswered = false;
+  bool mRowWritten = false;
+  bool mRetryPending = false;
+};
+
+/** Returns the "IP:port" that a member listens on for streams. */
+std::string
+LinkAddress(const nodes::MemberRecord& aRecord);
+
+} // namespace knapweedpaddle::node
--- a/include/knapweedpaddle/nodes/GossipCodec.h
+++ b/include/knapweedpaddle/nodes/GossipCodec.h
@@ -11,7 +11,8 @@
 std::string
 EncodeGossip(const GossipMessage& aMessage, const std::string& aMesh);
 
-/** Decodes a datagram; nothing for garbage, another protocol or another mesh. */
+/** Decodes a datagram; nothing for garbage, another protocol or another mesh.
+ */
 std::optional<GossipMessage>
 DecodeGossip(const std::string& aBytes, const std::string& aMesh);
 
@@ -19,7 +20,8 @@
 {
   std::vector<MemberUpdate> members;
   std::uint64_t configVersion = 0;
-  std::uint64_t rememberedVersion = 0; ///< highest version heard from the asker's address
+  std::uint64_t rememberedVersion =
+    0; ///< highest version heard from the asker's address
   std::vector<MoveProgress> moves;
 };
 
@@ -37,7 +39,7 @@
 {
   std::uint64_t configVersion = 0;
   std::vector<std::string> changes; ///< encoded changes, oldest first
-  std::string snapshot;             ///< encoded snapshot, when the history is too short
+  std::string snapshot; ///< encoded snapshot, when the history is too short
 };
 
 std::string
--- a/include/knapweedpaddle/nodes/GossipMessage.h
+++ b/include/knapweedpaddle/nodes/GossipMessage.h
@@ -27,7 +27,8 @@
   GossipKind kind = GossipKind::kPing;
   std::uint32_t sequence = 0;
   NodeId sender = kNoNode;
-  NodeId target = kNoNode; ///< whom a kPingRequest concerns, or who answered a relayed ping
+  NodeId target =
+    kNoNode; ///< whom a kPingRequest concerns, or who answered a relayed ping
   std::uint64_t configVersion = 0;
   std::vector<MemberUpdate> updates;
   std::vector<MoveProgress> moves;
--- a/include/knapweedpaddle/nodes/GossipSocket.h
+++ b/include/knapweedpaddle/nodes/GossipSocket.h
@@ -10,12 +10,14 @@
 
 namespace knapweedpaddle::nodes {
 
-/** Sends and receives gossip datagrams over UDP. Thread safety: control thread only. */
+/** Sends and receives gossip datagrams over UDP. Thread safety: control thread
+ * only. */
 class GossipSocket
 {
 public:
   using Handler = std::function<void(const GossipMessage&)>;
-  using ByteCounter = std::function<void(std::size_t aSent, std::size_t aReceived)>;
+  using ByteCounter =
+    std::function<void(std::size_t aSent, std::size_t aReceived)>;
 
   /** @param aMesh  name of the mesh; datagrams of others are dropped. */
   GossipSocket(std::string aMesh, Handler aHandler, ByteCounter aCounter);
--- a/include/knapweedpaddle/nodes/LinkClient.h
+++ b/include/knapweedpaddle/nodes/LinkClient.h
@@ -30,7 +30,8 @@
 {
 public:
   using RequestId = std::uint64_t;
-  using Callback = std::function<void(std::optional<LinkResponse>, const LinkReason&)>;
+  using Callback =
+    std::function<void(std::optional<LinkResponse>, const LinkReason&)>;
 
   LinkClient(runtime::EventLoop& aLoop, LinkClientOptions aOptions);
   ~LinkClient();
@@ -41,7 +42,9 @@
    * Sends a request to "IP:port". The callback runs once, never from inside
    * Send(), and at the latest after the request's timeout.
    */
-  RequestId Send(const std::string& aAddress, const LinkRequest& aRequest, Callback aCallback);
+  RequestId Send(const std::string& aAddress,
+                 const LinkRequest& aRequest,
+                 Callback aCallback);
 
   /** Gives up a request and tells the peer; its callback never runs. */
   void Cancel(RequestId aRequest);
--- a/include/knapweedpaddle/nodes/LinkServer.h
+++ b/include/knapweedpaddle/nodes/LinkServer.h
@@ -49,7 +49,8 @@
    * @param aPort  TCP port, 0 for any free one.
    * @return the port, or nothing when the address can't be bound.
    */
-  std::optional<std::uint16_t> Listen(const std::string& aAddress, std::uint16_t aPort);
+  std::optional<std::uint16_t> Listen(const std::string& aAddress,
+                                      std::uint16_t aPort);
 
   /** Tells every peer to open no more streams; streams in flight go on. */
   void GoAway();
--- a/include/knapweedpaddle/nodes/Membership.h
+++ b/include/knapweedpaddle/nodes/Membership.h
@@ -15,13 +15,16 @@
   Milliseconds probePeriod{ 1000 };
   Milliseconds directTimeout{ 300 }; ///< before other members are asked to ping
   std::uint32_t indirectProbes = 3;
-  std::uint32_t suspicionPeriods = 3;      ///< probe periods per decimal digit of the size
-  std::uint32_t retransmitFactor = 4;      ///< sends of one update per decimal digit
-  std::size_t maxUpdates = 6;              ///< member updates in one datagram
-  std::uint32_t deadProbeEvery = 5;        ///< probe periods between pings of a dead member
-  Milliseconds deadKept{ 3 * 3600 * 1000 }; ///< a region's outage lasts an hour or so
-  std::size_t rememberedLimit = 4096;      ///< addresses whose version is remembered
-  std::uint32_t hintFanout = 4;            ///< members told of a new version at once
+  std::uint32_t suspicionPeriods =
+    3; ///< probe periods per decimal digit of the size
+  std::uint32_t retransmitFactor = 4; ///< sends of one update per decimal digit
+  std::size_t maxUpdates = 6;         ///< member updates in one datagram
+  std::uint32_t deadProbeEvery =
+    5; ///< probe periods between pings of a dead member
+  Milliseconds deadKept{ 3 * 3600 *
+                         1000 };      ///< a region's outage lasts an hour or so
+  std::size_t rememberedLimit = 4096; ///< addresses whose version is remembered
+  std::uint32_t hintFanout = 4;       ///< members told of a new version at once
 };
 
 /** A member as this node sees it. */
@@ -45,7 +48,9 @@
 class Membership
 {
 public:
-  Membership(MembershipOptions aOptions, MemberRecord aSelf, std::uint64_t aSeed);
+  Membership(MembershipOptions aOptions,
+             MemberRecord aSelf,
+             std::uint64_t aSeed);
 
   const MemberRecord& Self() const { return mSelf; }
 
@@ -67,8 +72,10 @@
   /** Returns messages that tell some random members of this node's version. */
   std::vector<Datagram> VersionHints();
 
-  /** Returns messages that carry move progress to random members of any zone. */
-  std::vector<Datagram> ProgressMessages(const std::vector<MoveProgress>& aMoves);
+  /** Returns messages that carry move progress to random members of any zone.
+   */
+  std::vector<Datagram> ProgressMessages(
+    const std::vector<MoveProgress>& aMoves);
 
   /** Everything known, dead members included; this node is not in it. */
   const std::map<NodeId, Member>& Members() const { return mMembers; }
@@ -82,7 +89,8 @@
   /** Counts changes of the member table; equal values mean an equal table. */
   std::uint64_t Changes() const { return mChanges; }
 
-  /** True once after a member came back from the dead, so that a full sync is due. */
+  /** True once after a member came back from the dead, so that a full sync is
+   * due. */
   bool TakeSyncDue();
 
 private:
@@ -130,7 +138,8 @@
   std::vector<NodeId> mProbeOrder;
   std::optional<Probe> mProbe;
   std::map<std::uint32_t, Relay> mRelays;
-  std::map<NodeId, std::uint32_t> mSpreading; ///< sends already made of each update
+  std::map<NodeId, std::uint32_t>
+    mSpreading; ///< sends already made of each update
   Timestamp mNextPeriod{};
   std::uint32_t mSequence = 0;
   std::uint32_t mPeriods = 0;
--- a/include/knapweedpaddle/nodes/ZoneReaders.h
+++ b/include/knapweedpaddle/nodes/ZoneReaders.h
@@ -20,6 +20,8 @@
 
 /** True when this node is among the holders of a duty in its own zone. */
 bool
-HoldsDuty(const Membership& aMembership, const std::string& aDuty, std::size_t aCount);
+HoldsDuty(const Membership& aMembership,
+          const std::string& aDuty,
+          std::size_t aCount);
 
 } // namespace knapweedpaddle::nodes
--- a/include/knapweedpaddle/operators/Acceptor.h
+++ b/include/knapweedpaddle/operators/Acceptor.h
@@ -11,9 +11,10 @@
 enum class AcceptOutcome
 {
   kAccepted,
-  kRefused,     ///< the request or the resulting catalogue is not valid; nothing changed
-  kForbidden,   ///< an entry has another owner; nothing changed
-  kConflict,    ///< another change to the same entry won; nothing changed
+  kRefused,   ///< the request or the resulting catalogue is not valid; nothing
+              ///< changed
+  kForbidden, ///< an entry has another owner; nothing changed
+  kConflict,  ///< another change to the same entry won; nothing changed
   kUnavailable, ///< the platform can't be reached; nothing changed
   kUnknown,     ///< ask again with the same operation id
 };
@@ -49,7 +50,8 @@
 public:
   using Callback = std::function<void(AcceptResult)>;
 
-  /** @param aChanged  runs after an accepted change was applied to the store. */
+  /** @param aChanged  runs after an accepted change was applied to the store.
+   */
   Acceptor(platform::PlatformClient& aPlatform,
            config::ConfigStore& aStore,
            platform::CatalogueReader& aReader,
@@ -60,7 +62,9 @@
    *
    * @param aOwner  owner that the operator proved to be.
    */
-  void Accept(config::ChangeRequest aRequest, std::string aOwner, Callback aCallback);
+  void Accept(config::ChangeRequest aRequest,
+              std::string aOwner,
+              Callback aCallback);
 
 private:
   struct Attempt;
@@ -72,7 +76,9 @@
   void Commit(const AttemptPtr& aAttempt);
   void OnAccepted(const AttemptPtr& aAttempt);
   void KeepSnapshot();
-  static void Finish(const AttemptPtr& aAttempt, AcceptOutcome aOutcome, std::string aMessage);
+  static void Finish(const AttemptPtr& aAttempt,
+                     AcceptOutcome aOutcome,
+                     std::string aMessage);
 
   platform::PlatformClient& mPlatform;
   config::ConfigStore& mStore;
--- a/include/knapweedpaddle/platform/CatalogueReader.h
+++ b/include/knapweedpaddle/platform/CatalogueReader.h
@@ -21,7 +21,8 @@
                   config::ConfigStore& aStore,
                   std::function<void()> aChanged);
 
-  /** Called with the platform's newest version, or nothing when it can't be read. */
+  /** Called with the platform's newest version, or nothing when it can't be
+   * read. */
   using HeadCallback = std::function<void(std::optional<std::uint64_t>)>;
 
   /** Reads the newest version's number. */
@@ -34,7 +35,7 @@
 
 private:
   void FetchChanges(std::uint64_t aVersion, DoneCallback aCallback);
-  void FetchSnapshot(std::uint64_t aVersion, DoneCallback aCallback);
+  void FetchSnapshot(std::uint64_t aVersion, const DoneCallback& aCallback);
   bool Replace(const std::string& aBody);
 
   PlatformClient& mPlatform;
--- a/include/knapweedpaddle/platform/CatalogueRows.h
+++ b/include/knapweedpaddle/platform/CatalogueRows.h
@@ -33,7 +33,8 @@
 std::string
 SnapshotObject(std::uint64_t aVersion);
 
-/** Parses a row that holds a version; 0 for an absent row, nothing for another value. */
+/** Parses a row that holds a version; 0 for an absent row, nothing for another
+ * value. */
 std::optional<std::uint64_t>
 VersionOf(const Row& aRow);
 
--- a/include/knapweedpaddle/platform/ClaimBatcher.h
+++ b/include/knapweedpaddle/platform/ClaimBatcher.h
@@ -22,7 +22,9 @@
   /** @param aWritesPerSecond  most transactions a second. */
   ClaimBatcher(PlatformClient& aPlatform, std::uint32_t aWritesPerSecond);
 
-  void Claim(const std::string& aKey, const std::string& aCallId, Callback aCallback) override;
+  void Claim(const std::string& aKey,
+             const std::string& aCallId,
+             Callback aCallback) override;
 
   /** Sends the waiting claims when the write budget allows it. */
   void Tick(Timestamp aNow);
--- a/include/knapweedpaddle/platform/HttpPlatformClient.h
+++ b/include/knapweedpaddle/platform/HttpPlatformClient.h
@@ -11,7 +11,8 @@
 {
 public:
   /** Counts what went over the wire, in bytes, for the control byte budget. */
-  using ByteCounter = std::function<void(std::size_t aSent, std::size_t aReceived)>;
+  using ByteCounter =
+    std::function<void(std::size_t aSent, std::size_t aReceived)>;
 
   /**
    * @param aAddress  "IP:port" of the platform.
@@ -28,14 +29,22 @@
                  std::size_t aLimit,
                  RowsCallback aCallback) override;
   void Commit(Transaction aTransaction, DoneCallback aCallback) override;
-  void PutObject(std::string aName, std::string aBody, DoneCallback aCallback) override;
+  void PutObject(std::string aName,
+                 std::string aBody,
+                 DoneCallback aCallback) override;
   void GetObject(std::string aName, ObjectCallback aCallback) override;
 
 private:
   using AnswerCallback =
-    std::function<void(std::optional<runtime::HttpResponse>, const PlatformReason&)>;
-  void Send(std::string aMethod, std::string aPath, std::string aBody, AnswerCallback aCallback);
-  void SendForRows(std::string aPath, std::string aBody, RowsCallback aCallback);
+    std::function<void(std::optional<runtime::HttpResponse>,
+                       const PlatformReason&)>;
+  void Send(std::string aMethod,
+            const std::string& aPath,
+            std::string aBody,
+            AnswerCallback aCallback);
+  void SendForRows(const std::string& aPath,
+                   std::string aBody,
+                   RowsCallback aCallback);
 
   runtime::HttpClient mClient;
   std::string mAddress;
--- a/include/knapweedpaddle/platform/PlatformClient.h
+++ b/include/knapweedpaddle/platform/PlatformClient.h
@@ -73,16 +73,19 @@
 class PlatformClient
 {
 public:
-  using RowsCallback = std::function<void(std::optional<std::vector<Row>>, const PlatformReason&)>;
+  using RowsCallback =
+    std::function<void(std::optional<std::vector<Row>>, const PlatformReason&)>;
   using DoneCallback = std::function<void(bool, const PlatformReason&)>;
-  using ObjectCallback = std::function<void(std::optional<std::string>, const PlatformReason&)>;
+  using ObjectCallback =
+    std::function<void(std::optional<std::string>, const PlatformReason&)>;
 
   virtual ~PlatformClient() = default;
 
   /** Reads rows by key; absent ones come back with revision 0. */
   virtual void Read(std::vector<std::string> aKeys, RowsCallback aCallback) = 0;
 
-  /** Reads up to aLimit existing rows with keys from aFirst, under aPrefix, in order. */
+  /** Reads up to aLimit existing rows with keys from aFirst, under aPrefix, in
+   * order. */
   virtual void ReadRange(std::string aPrefix,
                          std::string aFirst,
                          std::size_t aLimit,
@@ -90,7 +93,9 @@
 
   virtual void Commit(Transaction aTransaction, DoneCallback aCallback) = 0;
 
-  virtual void PutObject(std::string aName, std::string aBody, DoneCallback aCallback) = 0;
+  virtual void PutObject(std::string aName,
+                         std::string aBody,
+                         DoneCallback aCallback) = 0;
   virtual void GetObject(std::string aName, ObjectCallback aCallback) = 0;
 };
 
--- a/include/knapweedpaddle/routing/Picker.h
+++ b/include/knapweedpaddle/routing/Picker.h
@@ -10,11 +10,13 @@
 
 struct PickerOptions
 {
-  std::uint32_t failuresToEject = 3;         ///< in a row
-  Milliseconds ejectionBase{ 500 };          ///< doubled at each ejection in a row
+  std::uint32_t failuresToEject = 3; ///< in a row
+  Milliseconds ejectionBase{ 500 };  ///< doubled at each ejection in a row
   Milliseconds ejectionMost{ 10'000 };
-  double panicShare = 0.5;    ///< with more than this share ejected, ejection is ignored
-  double spillUtilisation = 0.85; ///< of the zone's slots, above which calls leave the zone
+  double panicShare =
+    0.5; ///< with more than this share ejected, ejection is ignored
+  double spillUtilisation =
+    0.85; ///< of the zone's slots, above which calls leave the zone
   Milliseconds loadFresh{ 2000 }; ///< how long a reported load counts
 };
 
@@ -40,7 +42,9 @@
   Picker(PickerOptions aOptions, std::uint64_t aSeed);
 
   /** Returns the chosen target, or null when the view has none. */
-  const Target* Pick(const RoutingView& aView, const PickQuery& aQuery, Timestamp aNow);
+  const Target* Pick(const RoutingView& aView,
+                     const PickQuery& aQuery,
+                     Timestamp aNow);
 
   /** Notes that a call goes to a node; pair with Finish(). */
   void Start(nodes::NodeId aNode);
@@ -53,7 +57,9 @@
   void Finish(nodes::NodeId aNode, bool aReached, Timestamp aNow);
 
   /** Takes over the load that a node reported with an answer, in busy slots. */
-  void ReportLoad(nodes::NodeId aNode, std::uint32_t aBusySlots, Timestamp aNow);
+  void ReportLoad(nodes::NodeId aNode,
+                  std::uint32_t aBusySlots,
+                  Timestamp aNow);
 
   bool IsEjected(nodes::NodeId aNode, Timestamp aNow) const;
 
--- a/include/knapweedpaddle/routing/RetryPolicy.h
+++ b/include/knapweedpaddle/routing/RetryPolicy.h
@@ -21,7 +21,7 @@
 
 enum class RetryRefusal
 {
-  kMayHaveRun,   ///< an at most once call that may have run
+  kMayHaveRun, ///< an at most once call that may have run
   kNoTimeLeft,
   kTooManyTries,
   kBudgetSpent,
--- a/include/knapweedpaddle/routing/RoutingView.h
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -32,7 +32,8 @@
   bool condemned = false;
 };
 
-/** Everything that traffic threads need, made by the control thread. Immutable once shared. */
+/** Everything that traffic threads need, made by the control thread. Immutable
+ * once shared. */
 struct RoutingView
 {
   config::SnapshotPtr config;
@@ -43,7 +44,8 @@
   /** Returns the route with the longest prefix of a path, or null. */
   const config::RouteEntry* FindRoute(const std::string& aPath) const;
 
-  /** Returns the versions that calls of a service may reach, preferred first. */
+  /** Returns the versions that calls of a service may reach, preferred first.
+   */
   std::vector<std::string> VersionsFor(const std::string& aService,
                                        config::CallClass aClass,
                                        double aDraw) const;
--- a/include/knapweedpaddle/runtime/EventLoop.h
+++ b/include/knapweedpaddle/runtime/EventLoop.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "knapweedpaddle/common/Time.h"
+#include "knapweedpaddle/runtime/Scheduler.h"
 
-#include <cstdint>
-#include <functional>
 #include <memory>
 
 struct event_base;
@@ -17,14 +15,11 @@
  * Thread safety: Post() and Stop() may be called from any thread, everything
  * else from the thread inside Run(), or from any thread before Run() starts.
  */
-class EventLoop
+class EventLoop : public Scheduler
 {
 public:
-  using Task = std::function<void()>;
-  using TimerId = std::uint64_t;
-
   EventLoop();
-  ~EventLoop();
+  ~EventLoop() override;
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
@@ -35,13 +30,15 @@
   /** Queues a task; tasks run in the order in which they were posted. */
   void Post(Task aTask);
 
-  /** Runs a task once, after a delay. */
-  TimerId RunAfter(Milliseconds aDelay, Task aTask);
+  Timestamp Now() const override { return std::chrono::steady_clock::now(); }
+  WallMilliseconds Wall() const override { return WallNow(); }
+  TimerId RunAfter(Milliseconds aDelay, Task aTask) override;
 
   /** Runs a task at a fixed interval, first after one interval. */
   TimerId RunEvery(Milliseconds aInterval, Task aTask);
 
-  /** Forgets a timer; does nothing for one that already ran or was cancelled. */
+  /** Forgets a timer; does nothing for one that already ran or was cancelled.
+   */
   void Cancel(TimerId aTimer);
 
   /** Calls back whenever a descriptor is readable, for the life of the loop. */
--- a/include/knapweedpaddle/runtime/HttpClient.h
+++ b/include/knapweedpaddle/runtime/HttpClient.h
@@ -65,7 +65,8 @@
 {
 public:
   using RequestId = std::uint64_t;
-  using Callback = std::function<void(std::optional<HttpResponse>, const HttpReason&)>;
+  using Callback =
+    std::function<void(std::optional<HttpResponse>, const HttpReason&)>;
 
   /** @param aMaxConnections  per host; requests beyond it wait. */
   HttpClient(EventLoop& aLoop, long aMaxConnections);
--- a/include/knapweedpaddle/telemetry/Log.h
+++ b/include/knapweedpaddle/telemetry/Log.h
@@ -52,7 +52,8 @@
   std::string value;
 };
 
-/** Sets the format and the least severe level. Call once, before other threads start. */
+/** Sets the format and the least severe level. Call once, before other threads
+ * start. */
 void
 StartLog(LogLevel aLevel);
 
--- a/include/knapweedpaddle/telemetry/Metrics.h
+++ b/include/knapweedpaddle/telemetry/Metrics.h
@@ -23,12 +23,18 @@
   Metrics& operator=(const Metrics&) = delete;
 
   /** Adds to a counter, which is made at its first use. */
-  void Count(const std::string& aName, const MetricLabels& aLabels, double aAmount = 1);
+  void Count(const std::string& aName,
+             const MetricLabels& aLabels,
+             double aAmount = 1);
 
-  void SetGauge(const std::string& aName, const MetricLabels& aLabels, double aValue);
+  void SetGauge(const std::string& aName,
+                const MetricLabels& aLabels,
+                double aValue);
 
   /** Adds a duration in seconds to a histogram. */
-  void Observe(const std::string& aName, const MetricLabels& aLabels, double aSeconds);
+  void Observe(const std::string& aName,
+               const MetricLabels& aLabels,
+               double aSeconds);
 
   /** Returns all metrics in the Prometheus text format. */
   std::string Expose() const;
--- a/include/knapweedpaddle/telemetry/Tracer.h
+++ b/include/knapweedpaddle/telemetry/Tracer.h
@@ -58,7 +58,8 @@
 
   void Record(Span aSpan);
 
-  /** Takes all queued spans as a Zipkin v2 JSON array; empty when there are none. */
+  /** Takes all queued spans as a Zipkin v2 JSON array; empty when there are
+   * none. */
   std::string TakeBatch();
 
   std::uint64_t Dropped() const { return mDropped; }
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -20,8 +20,8 @@
 
 /** Headers that concern one connection and are not passed on. */
 constexpr std::array<std::string_view, 8> kHopHeaders{
-  "connection",        "keep-alive", "transfer-encoding", "content-length",
-  "proxy-connection",  "te",         "upgrade",           "expect",
+  "connection",       "keep-alive", "transfer-encoding", "content-length",
+  "proxy-connection", "te",         "upgrade",           "expect",
 };
 
 bool
@@ -135,15 +135,17 @@
       Refuse(aRun, "no backend server has announced itself here");
       return;
     }
-    if (mBackend->service != call.service || mBackend->version != call.version) {
+    if (mBackend->service != call.service ||
+        mBackend->version != call.version) {
       Refuse(aRun,
-             "the backend server here is " + mBackend->service + " " + mBackend->version +
-               ", not " + call.service + " " + call.version);
+             "the backend server here is " + mBackend->service + " " +
+               mBackend->version + ", not " + call.service + " " +
+               call.version);
       return;
     }
     SlotRefusal refusal{};
-    const auto answer =
-      mSlots.Request(SlotRequest{ aRun, call.callClass, call.deadline }, Now(), refusal);
+    const auto answer = mSlots.Request(
+      SlotRequest{ aRun, call.callClass, call.deadline }, Now(), refusal);
     if (!answer) {
       Refuse(aRun, std::string(NameOf(kSlotRefusalNames, refusal)));
       return;
@@ -176,15 +178,17 @@
       Dispatch(aRun);
       return;
     }
-    mServices.claims.Claim(running.call.idempotencyKey,
-                           running.call.callId,
-                           [this, aRun](ClaimOutcome aOutcome) { OnClaim(aRun, aOutcome); });
+    mServices.claims.Claim(
+      running.call.idempotencyKey,
+      running.call.callId,
+      [this, aRun](ClaimOutcome aOutcome) { OnClaim(aRun, aOutcome); });
   }
 
   void OnClaim(RunId aRun, ClaimOutcome aOutcome)
   {
     mServices.metrics.Count(
-      "claims_total", { { "outcome", std::string(NameOf(kClaimOutcomeNames, aOutcome)) } });
+      "claims_total",
+      { { "outcome", std::string(NameOf(kClaimOutcomeNames, aOutcome)) } });
     const auto it = mRunning.find(aRun);
     if (it == mRunning.end()) {
       return;
@@ -194,7 +198,8 @@
         Dispatch(aRun);
         return;
       case ClaimOutcome::kTaken: {
-        CallResult result = NotRun(it->second.call, "idempotency key was used by an earlier call");
+        CallResult result = NotRun(
+          it->second.call, "idempotency key was used by an earlier call");
         result.outcome = CallOutcome::kUnknown;
         Finish(aRun, std::move(result));
         return;
@@ -226,7 +231,8 @@
     request.method = call.method;
     request.url = "http://" + mBackend->address + call.path;
     request.body = call.body;
-    request.timeout = std::chrono::duration_cast<Milliseconds>(call.deadline - now);
+    request.timeout =
+      std::chrono::duration_cast<Milliseconds>(call.deadline - now);
     request.neverRepeat = call.callClass == config::CallClass::kAtMostOnce;
     for (const auto& it : call.headers) {
       if (!IsHopHeader(it.name)) {
@@ -236,15 +242,17 @@
     const auto span = mServices.tracer.Child(call.trace);
     request.headers.push_back({ "traceparent", span.ToHeader() });
     request.headers.push_back({ "knapweed-call-id", call.callId });
-    request.headers.push_back({ "knapweed-timeout-ms", std::to_string(request.timeout.count()) });
+    request.headers.push_back(
+      { "knapweed-timeout-ms", std::to_string(request.timeout.count()) });
     running.dispatched = true;
     running.sentAt = now;
     running.sentAtWallMicroseconds = WallMicroseconds();
-    running.request = mHttp.Send(
-      std::move(request),
-      [this, aRun, span](std::optional<HttpResponse> aResponse, const HttpReason& aReason) {
-        OnBackendAnswer(aRun, span, std::move(aResponse), aReason);
-      });
+    running.request =
+      mHttp.Send(std::move(request),
+                 [this, aRun, span](std::optional<HttpResponse> aResponse,
+                                    const HttpReason& aReason) {
+                   OnBackendAnswer(aRun, span, std::move(aResponse), aReason);
+                 });
   }
 
   void OnBackendAnswer(RunId aRun,
@@ -253,21 +261,25 @@
                        const HttpReason& aReason)
   {
     Running& running = mRunning.at(aRun);
-    const auto elapsed = std::chrono::duration_cast<Microseconds>(Now() - running.sentAt);
+    const auto elapsed =
+      std::chrono::duration_cast<Microseconds>(Now() - running.sentAt);
     if (aSpan.sampled) {
-      mServices.tracer.Record({ aSpan.traceId,
-                                aSpan.spanId,
-                                running.call.trace.spanId,
-                                "backend server",
-                                running.sentAtWallMicroseconds,
-                                elapsed.count(),
-                                aResponse ? std::to_string(aResponse->status) : aReason.message });
+      mServices.tracer.Record(
+        { aSpan.traceId,
+          aSpan.spanId,
+          running.call.trace.spanId,
+          "backend server",
+          running.sentAtWallMicroseconds,
+          elapsed.count(),
+          aResponse ? std::to_string(aResponse->status) : aReason.message });
     }
     mServices.metrics.Observe("backend_seconds",
                               { { "route", running.call.route } },
                               std::chrono::duration<double>(elapsed).count());
     const bool notSent = !aResponse && aReason.code == HttpError::kNotSent;
-    AddEvidence(running.call, elapsed, aResponse && aResponse->status < kFirstServerError);
+    AddEvidence(running.call,
+                elapsed,
+                aResponse && aResponse->status < kFirstServerError);
 
     CallResult result;
     result.callId = running.call.callId;
@@ -280,13 +292,16 @@
     result.outcome = CallOutcome::kAnswered;
     result.status = aResponse->status;
     result.body = std::move(aResponse->body);
-    std::ranges::copy_if(aResponse->headers,
-                         std::back_inserter(result.headers),
-                         [](const auto& it) { return !IsHopHeader(it.name); });
+    std::ranges::copy_if(
+      aResponse->headers,
+      std::back_inserter(result.headers),
+      [](const auto& aItem) { return !IsHopHeader(aItem.name); });
     Finish(aRun, std::move(result));
   }
 
-  void AddEvidence(const OwnedCall& aCall, Microseconds aElapsed, bool aSucceeded)
+  void AddEvidence(const OwnedCall& aCall,
+                   Microseconds aElapsed,
+                   bool aSucceeded)
   {
     EvidenceSums& sums = mEvidence[{ aCall.version, aCall.route }];
     ++sums.calls;
@@ -310,14 +325,16 @@
     mRunning.erase(it);
     if (running.holdsSlot) {
       const Timestamp now = Now();
-      const auto served = running.dispatched
-                            ? std::chrono::duration_cast<Milliseconds>(now - running.sentAt)
-                            : Milliseconds(0);
+      const auto served =
+        running.dispatched
+          ? std::chrono::duration_cast<Milliseconds>(now - running.sentAt)
+          : Milliseconds(0);
       mSlots.Release(served, now);
     }
     mServices.metrics.Count(
       "owner_calls_total",
-      { { "outcome", std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) } });
+      { { "outcome",
+          std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) } });
     running.callback(std::move(aResult));
   }
 
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -25,7 +25,9 @@
 }
 
 std::optional<SlotQueue::Answer>
-SlotQueue::Request(const SlotRequest& aRequest, Timestamp aNow, SlotRefusal& aRefusal)
+SlotQueue::Request(const SlotRequest& aRequest,
+                   Timestamp aNow,
+                   SlotRefusal& aRefusal)
 {
   if (mDraining) {
     aRefusal = SlotRefusal::kDraining;
@@ -43,7 +45,8 @@
     aRefusal = SlotRefusal::kDeadlineTooNear;
     return std::nullopt;
   }
-  auto& queue = aRequest.callClass == config::CallClass::kCheck ? mChecks : mOthers;
+  auto& queue =
+    aRequest.callClass == config::CallClass::kCheck ? mChecks : mOthers;
   queue.push_back(aRequest);
   return Answer::kQueued;
 }
@@ -52,14 +55,17 @@
 SlotQueue::Release(Milliseconds aServiceTime, Timestamp aNow)
 {
   mBusy -= mBusy > 0 ? 1 : 0;
-  mServiceMs += kServiceWeight * (static_cast<double>(aServiceTime.count()) - mServiceMs);
+  mServiceMs +=
+    kServiceWeight * (static_cast<double>(aServiceTime.count()) - mServiceMs);
   GrantNext(aNow);
 }
 
 bool
 SlotQueue::Abandon(std::uint64_t aId)
 {
-  const auto isIt = [aId](const SlotRequest& aRequest) { return aRequest.id == aId; };
+  const auto isIt = [aId](const SlotRequest& aRequest) {
+    return aRequest.id == aId;
+  };
   return std::erase_if(mChecks, isIt) + std::erase_if(mOthers, isIt) > 0;
 }
 
@@ -96,15 +102,17 @@
 SlotQueue::HasSlotFor(config::CallClass aClass) const
 {
   const std::uint32_t kept =
-    aClass == config::CallClass::kCheck ? 0 : std::min(mCheckSlots, mSlots > 1 ? mSlots - 1 : 0);
+    aClass == config::CallClass::kCheck
+      ? 0
+      : std::min(mCheckSlots, mSlots > 1 ? mSlots - 1 : 0);
   return mBusy + kept < mSlots;
 }
 
 Milliseconds
 SlotQueue::ExpectedWait() const
 {
-  const double rounds =
-    static_cast<double>(Queued() + 1) / static_cast<double>(std::max(mSlots, 1U));
+  const double rounds = static_cast<double>(Queued() + 1) /
+                        static_cast<double>(std::max(mSlots, 1U));
   return Milliseconds(static_cast<std::int64_t>(mServiceMs * rounds));
 }
 
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -26,7 +26,8 @@
 TryOutcome
 OutcomeOf(LinkError aError)
 {
-  const bool notRun = aError == LinkError::kNotSent || aError == LinkError::kRefused;
+  const bool notRun =
+    aError == LinkError::kNotSent || aError == LinkError::kRefused;
   return notRun ? TryOutcome::kNotRun : TryOutcome::kUnknown;
 }
 
@@ -117,7 +118,9 @@
     }
     mRetries.CountCall();
     if (!StartTry(call)) {
-      FinishWithout(call, "no backend server of service \"" + call->route.service + "\" is known");
+      FinishWithout(call,
+                    "no backend server of service \"" + call->route.service +
+                      "\" is known");
       return;
     }
     if (call->route.callClass == CallClass::kCheck) {
@@ -177,7 +180,8 @@
     if (it == mLimits.end() || it->second.revision != entry->header.revision) {
       mLimits.insert_or_assign(
         aName,
-        Limit{ entry->header.revision, routing::TokenBucket(entry->ratePerSecond, entry->burst) });
+        Limit{ entry->header.revision,
+               routing::TokenBucket(entry->ratePerSecond, entry->burst) });
     }
     return mLimits.at(aName).bucket.Take(aNow);
   }
@@ -210,20 +214,23 @@
     next.sentAt = now;
     next.sentAtWall = WallMicroseconds();
     aCall->tried.push_back(target->node);
-    aCall->steps.push_back("try " + std::to_string(aCall->tries) + ": " + ToString(target->node) +
-                           " in " + target->zone + ", version " + target->version);
+    aCall->steps.push_back("try " + std::to_string(aCall->tries) + ": " +
+                           ToString(target->node) + " in " + target->zone +
+                           ", version " + target->version);
     mPicker.Start(target->node);
     OwnedCall owned = Owned(*aCall, next, target->version);
     const std::string id = next.id;
     if (next.isLocal) {
-      next.request = mServices.owner.Run(std::move(owned), [this, aCall, id](CallResult aResult) {
-        OnResult(aCall, id, std::move(aResult));
-      });
+      next.request = mServices.owner.Run(
+        std::move(owned), [this, aCall, id](CallResult aResult) {
+          OnResult(aCall, id, std::move(aResult));
+        });
     } else {
       next.request = mServices.links.Send(
         target->linkAddress,
         nodes::EncodeCall(owned, now),
-        [this, aCall, id](std::optional<LinkResponse> aResponse, const LinkReason& aReason) {
+        [this, aCall, id](std::optional<LinkResponse> aResponse,
+                          const LinkReason& aReason) {
           OnLinkAnswer(aCall, id, std::move(aResponse), aReason);
         });
     }
@@ -231,7 +238,9 @@
     return true;
   }
 
-  static OwnedCall Owned(const Call& aCall, const Try& aTry, const std::string& aVersion)
+  static OwnedCall Owned(const Call& aCall,
+                         const Try& aTry,
+                         const std::string& aVersion)
   {
     OwnedCall owned;
     owned.callId = aTry.id;
@@ -240,7 +249,8 @@
     owned.route = aCall.route.header.name;
     owned.callClass = aCall.route.callClass;
     if (!aCall.request.idempotencyKey.empty()) {
-      owned.idempotencyKey = aCall.route.header.name + "/" + aCall.request.idempotencyKey;
+      owned.idempotencyKey =
+        aCall.route.header.name + "/" + aCall.request.idempotencyKey;
     }
     owned.deadline = aCall.deadline;
     owned.slowAfter = aCall.route.slowAfter;
@@ -263,7 +273,11 @@
     }
     auto decoded = nodes::DecodeCallResult(std::move(*aResponse), aTry);
     if (!decoded) {
-      OnFailedTry(aCall, aTry, TryOutcome::kUnknown, "the peer's answer is not whole", false);
+      OnFailedTry(aCall,
+                  aTry,
+                  TryOutcome::kUnknown,
+                  "the peer's answer is not whole",
+                  false);
       return;
     }
     for (const auto& it : aCall->active) {
@@ -274,12 +288,16 @@
     OnResult(aCall, aTry, std::move(decoded->result));
   }
 
-  void OnResult(const CallPtr& aCall, const std::string& aTry, CallResult aResult)
+  void OnResult(const CallPtr& aCall,
+                const std::string& aTry,
+                CallResult aResult)
   {
     if (aResult.outcome != CallOutcome::kAnswered) {
-      const auto outcome =
-        aResult.outcome == CallOutcome::kNotRun ? TryOutcome::kNotRun : TryOutcome::kUnknown;
-      OnFailedTry(aCall, aTry, outcome, aResult.reason, outcome == TryOutcome::kNotRun);
+      const auto outcome = aResult.outcome == CallOutcome::kNotRun
+                             ? TryOutcome::kNotRun
+                             : TryOutcome::kUnknown;
+      OnFailedTry(
+        aCall, aTry, outcome, aResult.reason, outcome == TryOutcome::kNotRun);
       return;
     }
     EndTry(aCall, aTry, true, std::to_string(aResult.status));
@@ -287,7 +305,8 @@
     Finish(aCall, std::move(aResult));
   }
 
-  /** @param aReached  true when the owner itself answered, so that its node is sound. */
+  /** @param aReached  true when the owner itself answered, so that its node is
+   * sound. */
   void OnFailedTry(const CallPtr& aCall,
                    const std::string& aTry,
                    TryOutcome aOutcome,
@@ -296,7 +315,8 @@
   {
     EndTry(aCall, aTry, aReached, aWhy);
     aCall->mayHaveRun |= aOutcome == TryOutcome::kUnknown;
-    aCall->steps.push_back(std::string(NameOf(routing::kTryOutcomeNames, aOutcome)) + ": " + aWhy);
+    aCall->steps.push_back(
+      std::string(NameOf(routing::kTryOutcomeNames, aOutcome)) + ": " + aWhy);
     if (!aCall->active.empty()) {
       return; // A hedge is still under way.
     }
@@ -328,7 +348,8 @@
     const Timestamp now = Now();
     mPicker.Finish(it->node, aReached, now);
     if (it->span.sampled) {
-      const auto elapsed = std::chrono::duration_cast<Microseconds>(now - it->sentAt);
+      const auto elapsed =
+        std::chrono::duration_cast<Microseconds>(now - it->sentAt);
       mServices.tracer.Record({ it->span.traceId,
                                 it->span.spanId,
                                 aCall->trace.spanId,
@@ -342,23 +363,27 @@
 
   void ScheduleHedge(const CallPtr& aCall)
   {
-    aCall->hedgeTimer = mServices.loop.RunAfter(aCall->route.slowAfter, [this, aCall] {
-      aCall->hedgeTimer = 0;
-      if (!aCall->active.empty() && mRetries.TakeHedge(Now()) && StartTry(aCall)) {
-        mServices.metrics.Count("hedges_total", {});
-      }
-    });
+    aCall->hedgeTimer =
+      mServices.loop.RunAfter(aCall->route.slowAfter, [this, aCall] {
+        aCall->hedgeTimer = 0;
+        if (!aCall->active.empty() && mRetries.TakeHedge(Now()) &&
+            StartTry(aCall)) {
+          mServices.metrics.Count("hedges_total", {});
+        }
+      });
   }
 
   void FinishWithout(const CallPtr& aCall, const std::string& aReason)
   {
     CallResult result;
-    result.outcome = aCall->mayHaveRun ? CallOutcome::kUnknown : CallOutcome::kNotRun;
+    result.outcome =
+      aCall->mayHaveRun ? CallOutcome::kUnknown : CallOutcome::kNotRun;
     result.reason = aReason;
     result.callId = aCall->id;
     const std::string outcome(NameOf(kCallOutcomeNames, result.outcome));
     aCall->steps.push_back(outcome + ": " + aReason);
-    mServices.journal.Add({ aCall->id, aCall->request.path, outcome, aCall->steps });
+    mServices.journal.Add(
+      { aCall->id, aCall->request.path, outcome, aCall->steps });
     Finish(aCall, std::move(result));
   }
 
@@ -378,18 +403,21 @@
     }
     const auto elapsed = Now() - aCall->received;
     const std::string outcome(NameOf(kCallOutcomeNames, aResult.outcome));
-    mServices.metrics.Count("calls_total",
-                            { { "outcome", outcome }, { "route", aCall->route.header.name } });
-    mServices.metrics.Observe(
-      "call_seconds", { { "outcome", outcome } }, std::chrono::duration<double>(elapsed).count());
+    mServices.metrics.Count(
+      "calls_total",
+      { { "outcome", outcome }, { "route", aCall->route.header.name } });
+    mServices.metrics.Observe("call_seconds",
+                              { { "outcome", outcome } },
+                              std::chrono::duration<double>(elapsed).count());
     if (aCall->trace.sampled) {
-      mServices.tracer.Record({ aCall->trace.traceId,
-                                aCall->trace.spanId,
-                                aCall->parentSpan,
-                                "ingress",
-                                aCall->receivedWall,
-                                std::chrono::duration_cast<Microseconds>(elapsed).count(),
-                                outcome });
+      mServices.tracer.Record(
+        { aCall->trace.traceId,
+          aCall->trace.spanId,
+          aCall->parentSpan,
+          "ingress",
+          aCall->receivedWall,
+          std::chrono::duration_cast<Microseconds>(elapsed).count(),
+          outcome });
     }
     aCall->callback(std::move(aResult));
   }
@@ -412,7 +440,9 @@
   bool mClosed = false;
 };
 
-CallForwarder::CallForwarder(Services aServices, Identity aIdentity, std::uint64_t aSeed)
+CallForwarder::CallForwarder(Services aServices,
+                             Identity aIdentity,
+                             std::uint64_t aSeed)
   : mImpl(std::make_unique<Impl>(aServices, std::move(aIdentity), aSeed))
 {
 }
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -26,7 +26,9 @@
 std::string
 LowerCase(std::string aText)
 {
-  std::ranges::transform(aText, aText.begin(), [](unsigned char c) { return std::tolower(c); });
+  std::ranges::transform(aText, aText.begin(), [](unsigned char aLetter) {
+    return std::tolower(aLetter);
+  });
   return aText;
 }
 
@@ -93,7 +95,8 @@
   return Code::Gateway_Timeout;
 }
 
-/** A response header with any name: Pistache sends only headers of its own classes. */
+/** A response header with any name: Pistache sends only headers of its own
+ * classes. */
 class AnyHeader : public Pistache::Http::Header::Header
 {
 public:
@@ -103,7 +106,10 @@
   }
 
   const char* name() const override { return mHeader.name.c_str(); }
-  std::uint64_t hash() const override { return std::hash<std::string>()(mHeader.name); }
+  std::uint64_t hash() const override
+  {
+    return std::hash<std::string>()(mHeader.name);
+  }
   void write(std::ostream& aStream) const override { aStream << mHeader.value; }
 
 private:
@@ -129,7 +135,9 @@
 {
   std::vector<HttpHeader> headers = aResult.headers;
   headers.push_back({ "Knapweed-Call-Id", aResult.callId });
-  headers.push_back({ "Knapweed-Outcome", std::string(NameOf(kCallOutcomeNames, aResult.outcome)) });
+  headers.push_back(
+    { "Knapweed-Outcome",
+      std::string(NameOf(kCallOutcomeNames, aResult.outcome)) });
   if (aResult.outcome == CallOutcome::kAnswered) {
     Send(aWriter, CodeFor(aResult), aResult.body, headers);
     return;
@@ -143,7 +151,8 @@
 public:
   HTTP_PROTOTYPE(RequestHandler)
 
-  explicit RequestHandler(std::shared_ptr<const CallerServer::Handlers> aHandlers)
+  explicit RequestHandler(
+    std::shared_ptr<const CallerServer::Handlers> aHandlers)
     : mHandlers(std::move(aHandlers))
   {
   }
@@ -158,20 +167,25 @@
     request.body = aRequest.body();
     request.idempotencyKey = TakeHeader(request.headers, kIdempotencyHeader);
     request.traceparent = TakeHeader(request.headers, kTraceHeader);
-    if (!ReadTimeout(TakeHeader(request.headers, kTimeoutHeader), request.timeout)) {
-      writer->send(Code::Bad_Request, "header Knapweed-Timeout-Ms must be a whole number\n");
+    if (!ReadTimeout(TakeHeader(request.headers, kTimeoutHeader),
+                     request.timeout)) {
+      writer->send(Code::Bad_Request,
+                   "header Knapweed-Timeout-Ms must be a whole number\n");
       return;
     }
     if (request.path.starts_with(kNodePathPrefix)) {
-      mHandlers->onNodeRequest(std::move(request), [writer](const HttpAnswer& aAnswer) {
-        std::vector<HttpHeader> headers = aAnswer.headers;
-        headers.push_back({ "Content-Type", aAnswer.contentType });
-        Send(writer, static_cast<Code>(aAnswer.status), aAnswer.body, headers);
-      });
+      mHandlers->onNodeRequest(
+        std::move(request), [writer](const HttpAnswer& aAnswer) {
+          std::vector<HttpHeader> headers = aAnswer.headers;
+          headers.push_back({ "Content-Type", aAnswer.contentType });
+          Send(
+            writer, static_cast<Code>(aAnswer.status), aAnswer.body, headers);
+        });
       return;
     }
-    mHandlers->onCall(std::move(request),
-                      [writer](const CallResult& aResult) { SendResult(writer, aResult); });
+    mHandlers->onCall(std::move(request), [writer](const CallResult& aResult) {
+      SendResult(writer, aResult);
+    });
   }
 
 private:
@@ -205,27 +219,30 @@
 }
 
 bool
-CallerServer::Start(const std::string& aAddress, std::uint16_t aPort, std::string& aReason)
+CallerServer::Start(const std::string& aAddress,
+                    std::uint16_t aPort,
+                    std::string& aReason)
 {
   using Pistache::Tcp::Options;
   try {
     const Pistache::Address address(aAddress, Pistache::Port(aPort));
     auto endpoint = std::make_unique<Pistache::Http::Endpoint>(address);
-    endpoint->init(Pistache::Http::Endpoint::options()
-                     .threads(static_cast<int>(mImpl->threads))
-                     .flags(Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay)
-                     .backlog(kBacklog)
-                     .maxRequestSize(kMaxRequestBytes)
-                     .maxResponseSize(kMaxResponseBytes)
-                     .headerTimeout(kHeaderTimeout)
-                     .bodyTimeout(kBodyTimeout));
+    endpoint->init(
+      Pistache::Http::Endpoint::options()
+        .threads(static_cast<int>(mImpl->threads))
+        .flags(Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay)
+        .backlog(kBacklog)
+        .maxRequestSize(kMaxRequestBytes)
+        .maxResponseSize(kMaxResponseBytes)
+        .headerTimeout(kHeaderTimeout)
+        .bodyTimeout(kBodyTimeout));
     endpoint->setHandler(std::make_shared<RequestHandler>(mImpl->handlers));
     endpoint->serveThreaded();
     mImpl->endpoint = std::move(endpoint);
     return true;
   } catch (const std::exception& e) {
-    aReason =
-      "can't listen on " + aAddress + ":" + std::to_string(aPort) + " for callers: " + e.what();
+    aReason = "can't listen on " + aAddress + ":" + std::to_string(aPort) +
+              " for callers: " + e.what();
     return false;
   }
 }
--- a/src/config/ConfigStore.cpp
+++ b/src/config/ConfigStore.cpp
@@ -14,7 +14,8 @@
   const std::string name = "change " + std::to_string(aChange.version);
   if (aChange.version <= Version()) {
     aReason.Set(ConfigError::kStale,
-                name + " is not newer than version " + std::to_string(Version()));
+                name + " is not newer than version " +
+                  std::to_string(Version()));
     return false;
   }
   if (aChange.version != Version() + 1) {
@@ -24,7 +25,8 @@
   }
   Snapshot next = WithChange(*mCurrent, aChange);
   if (next.Digest() != aChange.digest) {
-    aReason.Set(ConfigError::kDigestMismatch, name + " does not lead to digest " + aChange.digest);
+    aReason.Set(ConfigError::kDigestMismatch,
+                name + " does not lead to digest " + aChange.digest);
     return false;
   }
   if (!Adopt(std::move(next), aReason)) {
@@ -42,8 +44,8 @@
 {
   if (aSnapshot.version <= Version()) {
     aReason.Set(ConfigError::kStale,
-                "snapshot " + std::to_string(aSnapshot.version) + " is not newer than version " +
-                  std::to_string(Version()));
+                "snapshot " + std::to_string(aSnapshot.version) +
+                  " is not newer than version " + std::to_string(Version()));
     return false;
   }
   if (!Adopt(aSnapshot, aReason)) {
@@ -63,7 +65,8 @@
     return std::nullopt;
   }
   const auto first =
-    mHistory.begin() + static_cast<std::ptrdiff_t>(aVersion + 1 - mHistory.front().version);
+    mHistory.begin() +
+    static_cast<std::ptrdiff_t>(aVersion + 1 - mHistory.front().version);
   return std::vector<Change>(first, mHistory.end());
 }
 
--- a/src/config/Entry.cpp
+++ b/src/config/Entry.cpp
@@ -25,19 +25,23 @@
 EntryId
 IdOf(const Entry& aEntry)
 {
-  return EntryId{ static_cast<EntryKind>(aEntry.index()), HeaderOf(aEntry).name };
+  return EntryId{ static_cast<EntryKind>(aEntry.index()),
+                  HeaderOf(aEntry).name };
 }
 
 const EntryHeader&
 HeaderOf(const Entry& aEntry)
 {
-  return std::visit([](const auto& it) -> const EntryHeader& { return it.header; }, aEntry);
+  return std::visit(
+    [](const auto& aItem) -> const EntryHeader& { return aItem.header; },
+    aEntry);
 }
 
 EntryHeader&
 HeaderOf(Entry& aEntry)
 {
-  return std::visit([](auto& it) -> EntryHeader& { return it.header; }, aEntry);
+  return std::visit([](auto& aItem) -> EntryHeader& { return aItem.header; },
+                    aEntry);
 }
 
 } // namespace knapweedpaddle::config
--- a/src/config/EntryCodec.cpp
+++ b/src/config/EntryCodec.cpp
@@ -57,14 +57,18 @@
     if (!it) {
       return aDefault;
     }
-    if (!it->is_number_integer() || it->get<double>() > 9e15 || it->get<double>() < 0) {
-      throw FieldError{ Label(aName) + " must be a whole number of at least 0" };
+    if (!it->is_number_integer() || it->get<double>() > 9e15 ||
+        it->get<double>() < 0) {
+      throw FieldError{ Label(aName) +
+                        " must be a whole number of at least 0" };
     }
     return it->get<std::int64_t>();
   }
 
   template<typename Enum, std::size_t N>
-  Enum Name(const char* aName, const std::array<EnumName<Enum>, N>& aTable, Enum aDefault)
+  Enum Name(const char* aName,
+            const std::array<EnumName<Enum>, N>& aTable,
+            Enum aDefault)
   {
     const std::string text = Text(aName, false);
     if (text.empty()) {
@@ -77,7 +81,8 @@
     for (const auto& it : aTable) {
       choices += (choices.empty() ? "" : ", ") + std::string(it.name);
     }
-    throw FieldError{ Label(aName) + " is \"" + text + "\"; it must be one of " + choices };
+    throw FieldError{ Label(aName) + " is \"" + text +
+                      "\"; it must be one of " + choices };
   }
 
   const Json* Array(const char* aName)
@@ -99,7 +104,10 @@
   }
 
 private:
-  std::string Label(const char* aName) const { return mWhere + ": field \"" + aName + "\""; }
+  std::string Label(const char* aName) const
+  {
+    return mWhere + ": field \"" + aName + "\"";
+  }
 
   const Json* Take(const char* aName, bool aRequired)
   {
@@ -170,7 +178,7 @@
 ToJson(const Entry& aEntry)
 {
   Json json = ToJson(HeaderOf(aEntry), IdOf(aEntry).kind);
-  std::visit([&json](const auto& it) { AddFields(json, it); }, aEntry);
+  std::visit([&json](const auto& aItem) { AddFields(json, aItem); }, aEntry);
   return json;
 }
 
@@ -190,8 +198,10 @@
   entry.service = aReader.Text("service");
   entry.limit = aReader.Text("limit", false);
   entry.callClass = aReader.Name("class", kCallClassNames, entry.callClass);
-  entry.timeout = Milliseconds(aReader.Integer("timeout_ms", entry.timeout.count()));
-  entry.slowAfter = Milliseconds(aReader.Integer("slow_after_ms", entry.slowAfter.count()));
+  entry.timeout =
+    Milliseconds(aReader.Integer("timeout_ms", entry.timeout.count()));
+  entry.slowAfter =
+    Milliseconds(aReader.Integer("slow_after_ms", entry.slowAfter.count()));
   return entry;
 }
 
@@ -221,7 +231,10 @@
 }
 
 using EntryReader = Entry (*)(FieldReader&);
-constexpr std::array<EntryReader, 4> kEntryReaders{ ReadService, ReadRoute, ReadLimit, ReadMove };
+constexpr std::array<EntryReader, 4> kEntryReaders{ ReadService,
+                                                    ReadRoute,
+                                                    ReadLimit,
+                                                    ReadMove };
 
 Entry
 EntryFrom(const Json& aJson, const std::string& aWhere)
@@ -229,11 +242,14 @@
   std::string where = aWhere;
   if (aJson.is_object() && aJson.contains("kind") && aJson.contains("name") &&
       aJson["kind"].is_string() && aJson["name"].is_string()) {
-    where += " " + aJson["kind"].get<std::string>() + "/" + aJson["name"].get<std::string>();
+    where += " " + aJson["kind"].get<std::string>() + "/" +
+             aJson["name"].get<std::string>();
   }
   FieldReader reader(aJson, where);
   if (!ValueOf(kEntryKindNames, reader.Text("kind"))) {
-    throw FieldError{ where + ": field \"kind\" must be one of service, route, limit, move" };
+    throw FieldError{
+      where + ": field \"kind\" must be one of service, route, limit, move"
+    };
   }
   const auto kind = reader.Name("kind", kEntryKindNames, EntryKind::kService);
   EntryHeader header;
@@ -252,7 +268,8 @@
   if (auto id = EntryId::Parse(aText)) {
     return *id;
   }
-  throw FieldError{ aWhere + ": \"" + aText + "\" is not of the form kind/name" };
+  throw FieldError{ aWhere + ": \"" + aText +
+                    "\" is not of the form kind/name" };
 }
 
 /** Runs a parser, turning its exceptions into a reason. */
@@ -265,7 +282,8 @@
   } catch (const FieldError& e) {
     aReason.Set(ConfigError::kMalformed, e.message);
   } catch (const Json::exception& e) {
-    aReason.Set(ConfigError::kMalformed, std::string("not valid JSON: ") + e.what());
+    aReason.Set(ConfigError::kMalformed,
+                std::string("not valid JSON: ") + e.what());
   }
   return std::nullopt;
 }
@@ -276,7 +294,8 @@
   std::vector<Entry> entries;
   if (aArray) {
     for (std::size_t n = 0; n < aArray->size(); ++n) {
-      entries.push_back(EntryFrom((*aArray)[n], "entry " + std::to_string(n + 1)));
+      entries.push_back(
+        EntryFrom((*aArray)[n], "entry " + std::to_string(n + 1)));
     }
   }
   return entries;
@@ -303,7 +322,9 @@
 std::optional<Entry>
 DecodeEntry(const std::string& aJson, ConfigReason& aReason)
 {
-  return Guarded<Entry>(aJson, aReason, [](const Json& it) { return EntryFrom(it, "entry"); });
+  return Guarded<Entry>(aJson, aReason, [](const Json& aItem) {
+    return EntryFrom(aItem, "entry");
+  });
 }
 
 std::string
@@ -313,12 +334,13 @@
   for (const auto& it : aChange.removals) {
     removals.push_back(it.ToString());
   }
-  return Json{ { "version", aChange.version },
-               { "operation_id", aChange.operationId },
-               { "digest", aChange.digest },
-               { "upserts", ToJson(aChange.upserts) },
-               { "removals", removals } }
-    .dump();
+  return Json{
+    { "version", aChange.version },
+    { "operation_id", aChange.operationId },
+    { "digest", aChange.digest },
+    { "upserts", ToJson(aChange.upserts) },
+    { "removals", removals }
+  }.dump();
 }
 
 std::optional<Change>
@@ -348,31 +370,33 @@
   for (const auto& [id, entry] : aSnapshot.entries) {
     entries.push_back(ToJson(entry));
   }
-  return Json{ { "version", aSnapshot.version },
-               { "digest", aSnapshot.Digest() },
-               { "entries", entries } }
-    .dump();
+  return Json{
+    { "version", aSnapshot.version },
+    { "digest", aSnapshot.Digest() },
+    { "entries", entries }
+  }.dump();
 }
 
 std::optional<Snapshot>
 DecodeSnapshot(const std::string& aJson, ConfigReason& aReason)
 {
   std::string digest;
-  auto snapshot = Guarded<Snapshot>(aJson, aReason, [&digest](const Json& aParsed) {
-    FieldReader reader(aParsed, "snapshot");
-    Snapshot result;
-    result.version = static_cast<std::uint64_t>(reader.Integer("version", 0));
-    digest = reader.Text("digest");
-    for (auto& it : EntriesFrom(reader.Array("entries"))) {
-      result.entries.insert_or_assign(IdOf(it), it);
-    }
-    reader.Finish();
-    return result;
-  });
+  auto snapshot =
+    Guarded<Snapshot>(aJson, aReason, [&digest](const Json& aParsed) {
+      FieldReader reader(aParsed, "snapshot");
+      Snapshot result;
+      result.version = static_cast<std::uint64_t>(reader.Integer("version", 0));
+      digest = reader.Text("digest");
+      for (auto& it : EntriesFrom(reader.Array("entries"))) {
+        result.entries.insert_or_assign(IdOf(it), it);
+      }
+      reader.Finish();
+      return result;
+    });
   if (snapshot && snapshot->Digest() != digest) {
     aReason.Set(ConfigError::kDigestMismatch,
-                "snapshot " + std::to_string(snapshot->version) + " does not have digest " +
-                  digest);
+                "snapshot " + std::to_string(snapshot->version) +
+                  " does not have digest " + digest);
     return std::nullopt;
   }
   return snapshot;
@@ -389,7 +413,8 @@
     std::set<EntryId> named;
     const auto addName = [&named](const EntryId& aId) {
       if (!named.insert(aId).second) {
-        throw FieldError{ "request: entry " + aId.ToString() + " is named twice" };
+        throw FieldError{ "request: entry " + aId.ToString() +
+                          " is named twice" };
       }
     };
     for (const auto& it : request.upserts) {
@@ -400,15 +425,19 @@
         FieldReader removal(it, "removal");
         ChangeRequest::Removal item;
         item.id = IdFrom(removal.Text("id"), "removal");
-        item.revision = static_cast<std::uint64_t>(removal.Integer("revision", 0));
+        item.revision =
+          static_cast<std::uint64_t>(removal.Integer("revision", 0));
         removal.Finish();
         addName(item.id);
         request.removals.push_back(item);
       }
     }
     reader.Finish();
-    if (request.operationId.empty() || (request.upserts.empty() && request.removals.empty())) {
-      throw FieldError{ "request: needs an operation_id and at least one entry or removal" };
+    if (request.operationId.empty() ||
+        (request.upserts.empty() && request.removals.empty())) {
+      throw FieldError{
+        "request: needs an operation_id and at least one entry or removal"
+      };
     }
     return request;
   });
--- a/src/config/Validate.cpp
+++ b/src/config/Validate.cpp
@@ -26,7 +26,8 @@
     for (const auto& [id, entry] : mSnapshot.entries) {
       mId = id.ToString();
       if (!CheckHeader(HeaderOf(entry)) ||
-          !std::visit([this](const auto& it) { return Check(it); }, entry)) {
+          !std::visit([this](const auto& aItem) { return Check(aItem); },
+                      entry)) {
         return false;
       }
     }
@@ -37,7 +38,8 @@
   bool Fail(const std::string& aMessage)
   {
     mReason.Set(ConfigError::kInvalid,
-                mId + ": " + aMessage + " (version " + std::to_string(mSnapshot.version) + ")");
+                mId + ": " + aMessage + " (version " +
+                  std::to_string(mSnapshot.version) + ")");
     return false;
   }
 
@@ -58,7 +60,8 @@
       return true;
     }
     const std::string kind(NameOf(kEntryKindNames, aKind));
-    return Fail("refers to " + kind + " \"" + aName + "\", which does not exist");
+    return Fail("refers to " + kind + " \"" + aName +
+                "\", which does not exist");
   }
 
   bool Check(const ServiceEntry& aEntry)
@@ -75,7 +78,8 @@
       return Fail("path_prefix \"/-/\" is reserved for the node");
     }
     if (!mPrefixes.insert(aEntry.pathPrefix).second) {
-      return Fail("path_prefix \"" + aEntry.pathPrefix + "\" is taken by another route");
+      return Fail("path_prefix \"" + aEntry.pathPrefix +
+                  "\" is taken by another route");
     }
     if (aEntry.timeout.count() < 1 || aEntry.timeout > kMaxRouteTimeout) {
       return Fail("timeout_ms must be 1 to 60000");
@@ -86,7 +90,8 @@
     if (!CheckReference(EntryKind::kService, aEntry.service)) {
       return false;
     }
-    return aEntry.limit.empty() || CheckReference(EntryKind::kLimit, aEntry.limit);
+    return aEntry.limit.empty() ||
+           CheckReference(EntryKind::kLimit, aEntry.limit);
   }
 
   bool Check(const LimitEntry& aEntry)
@@ -119,10 +124,12 @@
 
   bool CheckOpenMove(const MoveEntry& aEntry)
   {
-    const auto* service = mSnapshot.Get<ServiceEntry>(EntryKind::kService, aEntry.service);
+    const auto* service =
+      mSnapshot.Get<ServiceEntry>(EntryKind::kService, aEntry.service);
     if (aEntry.fromVersion != service->version) {
-      return Fail("from_version \"" + aEntry.fromVersion + "\" is not the version \"" +
-                  service->version + "\" of service \"" + aEntry.service + "\"");
+      return Fail("from_version \"" + aEntry.fromVersion +
+                  "\" is not the version \"" + service->version +
+                  "\" of service \"" + aEntry.service + "\"");
     }
     return mMoving.insert(aEntry.service).second ||
            Fail("service \"" + aEntry.service + "\" has another open move");
--- a/src/moves/MoveBoard.cpp
+++ b/src/moves/MoveBoard.cpp
@@ -50,7 +50,8 @@
 std::uint32_t
 MoveBoard::StageIn(const MoveEntry& aMove, const std::string& aZone) const
 {
-  const auto it = mProgress.find({ aMove.header.name, aMove.header.revision, aZone });
+  const auto it =
+    mProgress.find({ aMove.header.name, aMove.header.revision, aZone });
   return it == mProgress.end() ? 0 : it->second.stage;
 }
 
@@ -66,14 +67,17 @@
 }
 
 bool
-MoveBoard::IsBakedIn(const MoveEntry& aMove, const std::set<std::string>& aZones) const
+MoveBoard::IsBakedIn(const MoveEntry& aMove,
+                     const std::set<std::string>& aZones) const
 {
-  return std::ranges::all_of(
-    aZones, [&](const std::string& aZone) { return StageIn(aMove, aZone) >= kLastStage; });
+  return std::ranges::all_of(aZones, [&](const std::string& aZone) {
+    return StageIn(aMove, aZone) >= kLastStage;
+  });
 }
 
 std::map<std::string, routing::VersionShare>
-MoveBoard::Shares(const config::Snapshot& aSnapshot, const std::string& aZone) const
+MoveBoard::Shares(const config::Snapshot& aSnapshot,
+                  const std::string& aZone) const
 {
   std::map<std::string, routing::VersionShare> shares;
   for (const auto& [id, entry] : aSnapshot.entries) {
@@ -109,7 +113,8 @@
 {
   std::vector<MoveProgress> found;
   for (const auto& [key, progress] : mProgress) {
-    if (key.move == aMove.header.name && key.revision == aMove.header.revision) {
+    if (key.move == aMove.header.name &&
+        key.revision == aMove.header.revision) {
       found.push_back(progress);
     }
   }
--- a/src/moves/MoveSchedule.cpp
+++ b/src/moves/MoveSchedule.cpp
@@ -44,20 +44,25 @@
     return aMove.startAt;
   }
   const auto last = static_cast<std::uint32_t>(Stage::kAll);
-  const auto window = static_cast<double>(aMove.doneBy - aMove.startAt - aMove.bake.count());
+  const auto window =
+    static_cast<double>(aMove.doneBy - aMove.startAt - aMove.bake.count());
   const double dwell = std::max(window, 0.0) * kScheduleShare / last;
   const double steps = std::min(aStage, last) - 1;
-  const WallMilliseconds start = aMove.startAt + static_cast<WallMilliseconds>(dwell * steps);
+  const WallMilliseconds start =
+    aMove.startAt + static_cast<WallMilliseconds>(dwell * steps);
   return aStage == kLastStage ? start + aMove.bake.count() : start;
 }
 
 bool
-IsLate(const config::MoveEntry& aMove, std::uint32_t aStage, WallMilliseconds aNow)
+IsLate(const config::MoveEntry& aMove,
+       std::uint32_t aStage,
+       WallMilliseconds aNow)
 {
   const auto last = static_cast<std::uint32_t>(Stage::kAll);
   const std::uint32_t left = aStage < last ? last - aStage : 0;
   const WallMilliseconds bake = aStage < kLastStage ? aMove.bake.count() : 0;
-  return std::max(aNow, aMove.startAt) + left * kLeastDwell.count() + bake > aMove.doneBy;
+  return std::max(aNow, aMove.startAt) + left * kLeastDwell.count() + bake >
+         aMove.doneBy;
 }
 
 } // namespace knapweedpaddle::moves
--- a/src/moves/VersionTest.cpp
+++ b/src/moves/VersionTest.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 /** How far each alternative lies between the allowed share and 1. */
-constexpr std::array<double, VersionTest::kAlternatives> kSteps{ 0.03, 0.08, 0.2, 0.4, 0.7, 0.95 };
+constexpr std::array<double, VersionTest::kAlternatives> kSteps{ 0.03, 0.08,
+                                                                 0.2,  0.4,
+                                                                 0.7,  0.95 };
 
 /** Above this the old version is as bad as can be told apart. */
 constexpr double kMostAllowed = 0.9;
@@ -27,11 +29,12 @@
   mOldBad = mOldBad * mOptions.memory + static_cast<double>(aBefore.bad);
   const double allowed = Allowed();
   const auto bad = static_cast<double>(aAfter.bad);
-  const auto good = static_cast<double>(aAfter.calls - std::min(aAfter.bad, aAfter.calls));
+  const auto good =
+    static_cast<double>(aAfter.calls - std::min(aAfter.bad, aAfter.calls));
   for (std::size_t n = 0; n < kAlternatives; ++n) {
     const double worse = allowed + (1 - allowed) * kSteps[n];
-    const double ratio =
-      bad * std::log(worse / allowed) + good * std::log((1 - worse) / (1 - allowed));
+    const double ratio = bad * std::log(worse / allowed) +
+                         good * std::log((1 - worse) / (1 - allowed));
     mSums[n] = std::max(0.0, mSums[n] + ratio);
     mCondemned |= mSums[n] >= mOptions.threshold;
   }
--- a/src/moves/ZoneJudge.cpp
+++ b/src/moves/ZoneJudge.cpp
@@ -16,7 +16,8 @@
 /** Calls of the new version on a route that a stage asks for. */
 constexpr std::uint64_t kEnoughCalls = 20;
 
-/** Evidence against the version, as a share of the threshold, that holds a stage. */
+/** Evidence against the version, as a share of the threshold, that holds a
+ * stage. */
 constexpr double kHoldSuspicion = 0.5;
 
 /** How long a stage waits for calls on quiet routes. */
@@ -38,7 +39,9 @@
 }
 
 void
-AddGrowth(VersionCounts& aSum, const VersionCounts& aNow, const VersionCounts& aBefore)
+AddGrowth(VersionCounts& aSum,
+          const VersionCounts& aNow,
+          const VersionCounts& aBefore)
 {
   aSum.calls += Grown(aNow.calls, aBefore.calls);
   aSum.failures += Grown(aNow.failures, aBefore.failures);
@@ -46,12 +49,16 @@
 }
 
 std::string
-Verdict(const std::string& aRoute, const char* aWhat, const VersionTest& aTest, const CallCounts& aLast)
+Verdict(const std::string& aRoute,
+        const char* aWhat,
+        const VersionTest& aTest,
+        const CallCounts& aLast)
 {
   std::array<char, 256> buf{};
   std::snprintf(buf.data(),
                 buf.size(),
-                "%s calls on route \"%.100s\": %llu of the last %llu, more than the %.1f%% allowed",
+                "%s calls on route \"%.100s\": %llu of the last %llu, more "
+                "than the %.1f%% allowed",
                 aWhat,
                 aRoute.c_str(),
                 static_cast<unsigned long long>(aLast.bad),
@@ -77,7 +84,9 @@
 ZoneJudge::Report(const EvidenceReport& aReport)
 {
   for (const auto& it : aReport.routes) {
-    const OwnerKey key{ static_cast<std::uint64_t>(aReport.node), it.move, it.route };
+    const OwnerKey key{ static_cast<std::uint64_t>(aReport.node),
+                        it.move,
+                        it.route };
     const auto [known, added] = mOwners.try_emplace(key);
     OwnerCounts& counts = known->second;
     if (counts.incarnation != aReport.incarnation) {
@@ -127,8 +136,9 @@
     opinion.stage = stage;
     opinion.late = IsLate(*move, stage, aNow);
     for (const auto& [name, route] : item.routes) {
-      opinion.suspicion =
-        std::max({ opinion.suspicion, route.failures.Suspicion(), route.slow.Suspicion() });
+      opinion.suspicion = std::max({ opinion.suspicion,
+                                     route.failures.Suspicion(),
+                                     route.slow.Suspicion() });
     }
     if (aBoard.Verdict(*move)) {
       continue;
@@ -151,8 +161,12 @@
     }
   }
   mOpinions = std::move(opinions);
-  std::erase_if(mCases, [this](const auto& it) { return !mOpinions.contains(it.first); });
-  std::erase_if(mOwners, [this](const auto& it) { return !mOpinions.contains(it.first.move); });
+  std::erase_if(mCases, [this](const auto& aItem) {
+    return !mOpinions.contains(aItem.first);
+  });
+  std::erase_if(mOwners, [this](const auto& aItem) {
+    return !mOpinions.contains(aItem.first.move);
+  });
   mIntervals.clear();
   return changes;
 }
@@ -200,7 +214,8 @@
       continue;
     }
     const RouteState& state = aCase.routes[id.name];
-    if (std::max(state.failures.Suspicion(), state.slow.Suspicion()) >= kHoldSuspicion) {
+    if (std::max(state.failures.Suspicion(), state.slow.Suspicion()) >=
+        kHoldSuspicion) {
       return false;
     }
     if (state.stageCalls < kEnoughCalls && dwelt < kQuietWait.count()) {
--- a/src/node/ClaimBridge.h
+++ b/src/node/ClaimBridge.h
@@ -18,12 +18,15 @@
   /** Sets who answers the claims. Call before the loops run. */
   void SetBatcher(platform::ClaimBatcher& aBatcher) { mBatcher = &aBatcher; }
 
-  void Claim(const std::string& aKey, const std::string& aCallId, Callback aCallback) override
+  void Claim(const std::string& aKey,
+             const std::string& aCallId,
+             Callback aCallback) override
   {
     mControl.Post([this, aKey, aCallId, callback = std::move(aCallback)] {
-      mBatcher->Claim(aKey, aCallId, [this, callback](backends::ClaimOutcome aOutcome) {
-        mTraffic.Post([callback, aOutcome] { callback(aOutcome); });
-      });
+      mBatcher->Claim(
+        aKey, aCallId, [this, callback](backends::ClaimOutcome aOutcome) {
+          mTraffic.Post([callback, aOutcome] { callback(aOutcome); });
+        });
       mBatcher->Tick(std::chrono::steady_clock::now());
     });
   }
--- /dev/null
+++ b/src/node/ControlCore.cpp
@@ -0,0 +1,257 @@
+#include "knapweedpaddle/node/ControlCore.h"
+
+#include "knapweedpaddle/nodes/ZoneReaders.h"
+
+namespace knapweedpaddle::node {
+
+using nodes::Liveness;
+using nodes::MemberRecord;
+using nodes::MemberState;
+
+namespace {
+
+constexpr Milliseconds kTick{ 100 };
+constexpr Milliseconds kSecond{ 1000 };
+constexpr Milliseconds kLongestGap{ 2000 };
+constexpr std::size_t kReadersPerZone = 2;
+constexpr const char* kReaderDuty = "config-reader";
+
+} // namespace
+
+ControlCore::ControlCore(Services aServices,
+                         MemberRecord aSelf,
+                         std::vector<std::string> aSeeds,
+                         std::uint64_t aSeed)
+  : mServices(std::move(aServices))
+  , mPauses(kLongestGap)
+  , mMembers(
+      { mServices.scheduler,
+        mServices.platform,
+        mServices.peers,
+        mServices.send,
+        [this](nodes::JoinAnswer aAnswer) {
+          aAnswer.configVersion = mConfig.Version();
+          aAnswer.moves = mMoves.Board().All();
+          return aAnswer;
+        },
+        [this](const nodes::JoinAnswer& aAnswer) { OnJoinAnswer(aAnswer); },
+        [this] { mConfig.OnPeersAsked(); } },
+      std::move(aSelf),
+      std::move(aSeeds),
+      aSeed)
+  , mConfig({ mServices.scheduler,
+              mServices.platform,
+              mServices.peers,
+              [this] { OnApplied(); },
+              [this] {
+                UpdateSelf();
+                Publish();
+              } },
+            aSeed + 1)
+  , mAcceptor(mServices.platform,
+              mConfig.Store(),
+              mConfig.Reader(),
+              [this] { mConfig.NoteApplied(); })
+  , mMoves({ mServices.scheduler,
+             mMembers.Members(),
+             mConfig.Store(),
+             mServices.peers,
+             mAcceptor,
+             [this](const std::vector<nodes::Datagram>& aDatagrams) {
+               mMembers.Send(aDatagrams);
+             },
+             [this] { Publish(); },
+             [this](const nodes::MoveProgress& aProgress) {
+               mServices.note(
+                 aProgress.condemned ? "move_condemned" : "move_stage",
+                 aProgress.move + " zone " + aProgress.zone + " stage " +
+                   std::to_string(aProgress.stage) + " " + aProgress.reason);
+             },
+             [this](operators::AcceptOutcome aOutcome) {
+               mServices.note(
+                 "move_end_recorded",
+                 std::string(NameOf(operators::kAcceptOutcomeNames, aOutcome)));
+             } })
+{
+}
+
+void
+ControlCore::Start()
+{
+  mConfig.BeginGate();
+  mMembers.Bootstrap();
+  OnTick();
+  OnSecond();
+}
+
+void
+ControlCore::OnTick()
+{
+  const Timestamp now = mServices.scheduler.Now();
+  if (mPauses.TakePause(now)) {
+    OnPause();
+  }
+  mPauses.Tick(now);
+  mMembers.Tick();
+  mConfig.UpdateGate();
+  if (mViewDirty || mPublishedMembers != Members().Changes()) {
+    Publish();
+  }
+  mServices.scheduler.RunAfter(kTick, [this] { OnTick(); });
+}
+
+void
+ControlCore::OnSecond()
+{
+  ExpireAnnouncement();
+  if (nodes::HoldsDuty(Members(), kReaderDuty, kReadersPerZone)) {
+    mConfig.PollHead();
+  }
+  mMoves.OnSecond();
+  mServices.scheduler.RunAfter(kSecond, [this] { OnSecond(); });
+}
+
+void
+ControlCore::OnPause()
+{
+  mServices.note("resumed_after_pause", "");
+  mConfig.BeginGate();
+  mMembers.Bootstrap();
+}
+
+void
+ControlCore::Receive(const nodes::GossipMessage& aMessage)
+{
+  mMembers.Receive(aMessage);
+  mMoves.Merge(aMessage.moves);
+  if (const std::string address = mMembers.LinkAddressOf(aMessage.sender);
+      !address.empty()) {
+    mConfig.OnPeerVersion(address, aMessage.configVersion);
+  }
+}
+
+void
+ControlCore::OnJoinAnswer(const nodes::JoinAnswer& aAnswer)
+{
+  mConfig.OnJoinAnswer(aAnswer.configVersion, aAnswer.rememberedVersion);
+  mMoves.Merge(aAnswer.moves);
+  // The answering node itself comes first in its answer.
+  if (!aAnswer.members.empty()) {
+    mConfig.OnPeerVersion(LinkAddress(aAnswer.members.front().record),
+                          aAnswer.configVersion);
+  }
+}
+
+void
+ControlCore::OnApplied()
+{
+  mServices.note("config_applied", std::to_string(mConfig.Version()));
+  Members().SetConfigVersion(mConfig.Version());
+  mMoves.OnConfigChanged();
+  Publish();
+  mMembers.Send(Members().VersionHints());
+}
+
+void
+ControlCore::TakeEvidence(const backends::EvidenceTable& aEvidence)
+{
+  if (mBackend) {
+    mMoves.TakeEvidence(mBackend->server.service, aEvidence);
+  }
+}
+
+void
+ControlCore::Announce(const backends::Announcement& aAnnouncement)
+{
+  mAnnouncedAt = mServices.scheduler.Now();
+  if (mBackend && mBackend->server == aAnnouncement.server &&
+      mBackend->draining == aAnnouncement.draining) {
+    return;
+  }
+  mBackend = aAnnouncement;
+  const backends::BackendServer& server = aAnnouncement.server;
+  mServices.note("backend_announced",
+                 server.address + " " + server.service + " " + server.version +
+                   (aAnnouncement.draining ? " draining" : ""));
+  mServices.setBackend(aAnnouncement.draining ? std::nullopt
+                                              : std::optional(server));
+  UpdateSelf();
+}
+
+void
+ControlCore::ExpireAnnouncement()
+{
+  if (mBackend && mServices.scheduler.Now() - mAnnouncedAt >
+                    backends::kAnnouncementLifetime) {
+    mServices.note("backend_expired", mBackend->server.address);
+    mBackend.reset();
+    mServices.setBackend(std::nullopt);
+    UpdateSelf();
+  }
+}
+
+void
+ControlCore::Leave()
+{
+  mLeaving = true;
+  UpdateSelf();
+  Publish();
+  mMembers.Send(Members().VersionHints());
+  mMembers.RemoveRow();
+}
+
+void
+ControlCore::UpdateSelf()
+{
+  MemberRecord record = Members().Self();
+  const bool serves = mBackend && !mBackend->draining;
+  record.service = serves ? mBackend->server.service : "";
+  record.version = serves ? mBackend->server.version : "";
+  record.slots = serves ? mBackend->server.slots : 0;
+  if (mLeaving) {
+    record.state = MemberState::kLeaving;
+  } else if (!mConfig.IsServing()) {
+    record.state = MemberState::kStarting;
+  } else {
+    record.state = serves ? MemberState::kServing : MemberState::kWarm;
+  }
+  if (record.state != Members().Self().state) {
+    mServices.note("state",
+                   std::string(NameOf(nodes::kMemberStateNames, record.state)));
+  }
+  Members().UpdateSelf(record);
+  mViewDirty = true;
+}
+
+void
+ControlCore::Publish()
+{
+  if (mPauses.TakePause(mServices.scheduler.Now())) {
+    OnPause();
+  }
+  auto view = std::make_shared<routing::RoutingView>();
+  view->config = mConfig.Store().Current();
+  view->open = IsServing();
+  view->shares = mMoves.Board().Shares(*view->config, Members().Self().zone);
+  const auto add = [&view](const MemberRecord& aRecord, bool aSuspect) {
+    if (aRecord.state == MemberState::kServing && !aRecord.service.empty()) {
+      view->targets[aRecord.service].push_back({ aRecord.node,
+                                                 LinkAddress(aRecord),
+                                                 aRecord.zone,
+                                                 aRecord.version,
+                                                 aRecord.slots,
+                                                 aSuspect });
+    }
+  };
+  add(Members().Self(), false);
+  for (const auto& [id, member] : Members().Members()) {
+    if (member.liveness != Liveness::kDead) {
+      add(member.record, member.liveness == Liveness::kSuspect);
+    }
+  }
+  mServices.publish(std::move(view));
+  mPublishedMembers = Members().Changes();
+  mViewDirty = false;
+}
+
+} // namespace knapweedpaddle::node
--- /dev/null
+++ b/src/node/LinkPeerClient.cpp
@@ -0,0 +1,83 @@
+#include "LinkPeerClient.h"
+
+namespace knapweedpaddle::node {
+
+namespace {
+
+constexpr Milliseconds kTimeout{ 1500 };
+constexpr std::size_t kStreamOverheadBytes =
+  120; ///< frames and headers of a request and answer
+constexpr int kStatusOk = 200;
+
+} // namespace
+
+LinkPeerClient::LinkPeerClient(runtime::EventLoop& aLoop, ByteCounter aCounter)
+  : mLinks(aLoop, nodes::LinkClientOptions{})
+  , mCounter(std::move(aCounter))
+{
+}
+
+void
+LinkPeerClient::Ask(const std::string& aAddress,
+                    const char* aPath,
+                    std::string aBody,
+                    const BodyCallback& aCallback)
+{
+  nodes::LinkRequest request;
+  request.path = aPath;
+  request.headers = { { "protocol", std::to_string(nodes::kProtocolVersion) } };
+  request.body = std::move(aBody);
+  request.timeout = kTimeout;
+  const char* kind = aPath + 1;
+  mCounter(kind, request.body.size() + kStreamOverheadBytes, 0);
+  mLinks.Send(
+    aAddress,
+    request,
+    [this, kind, aCallback](const std::optional<nodes::LinkResponse>& aResponse,
+                            const nodes::LinkReason&) {
+      if (!aResponse || aResponse->status != kStatusOk) {
+        aCallback(nullptr);
+        return;
+      }
+      mCounter(kind, 0, aResponse->body.size() + kStreamOverheadBytes);
+      aCallback(&aResponse->body);
+    });
+}
+
+void
+LinkPeerClient::Join(const std::string& aAddress,
+                     const nodes::MemberUpdate& aSelf,
+                     JoinCallback aCallback)
+{
+  Ask(aAddress,
+      kJoinPath,
+      nodes::EncodeJoinRequest(aSelf),
+      [callback = std::move(aCallback)](const std::string* aBody) {
+        callback(aBody ? nodes::DecodeJoinAnswer(*aBody) : std::nullopt);
+      });
+}
+
+void
+LinkPeerClient::Pull(const std::string& aAddress,
+                     std::uint64_t aFromVersion,
+                     PullCallback aCallback)
+{
+  Ask(aAddress,
+      kPullPath,
+      nodes::EncodePullRequest(aFromVersion),
+      [callback = std::move(aCallback)](const std::string* aBody) {
+        callback(aBody ? nodes::DecodePullAnswer(*aBody) : std::nullopt);
+      });
+}
+
+void
+LinkPeerClient::Report(const std::string& aAddress,
+                       const moves::EvidenceReport& aReport)
+{
+  Ask(aAddress,
+      moves::kEvidencePath,
+      moves::EncodeEvidence(aReport),
+      [](const std::string*) {});
+}
+
+} // namespace knapweedpaddle::node
--- /dev/null
+++ b/src/node/MemberAgent.cpp
@@ -0,0 +1,214 @@
+#include "knapweedpaddle/node/MemberAgent.h"
+
+#include "knapweedpaddle/platform/CatalogueRows.h"
+
+#include <algorithm>
+
+namespace knapweedpaddle::node {
+
+using nodes::Liveness;
+using nodes::MemberRecord;
+
+namespace {
+
+constexpr std::size_t kRowsRead = 10;
+constexpr std::size_t kPeersAsked = 3;
+constexpr Milliseconds kFirstRetry{ 500 };
+constexpr Milliseconds kLongestRetry{ 8000 };
+constexpr Milliseconds kSyncEvery{ 300'000 };
+constexpr Milliseconds kSyncAfterReturn{ 30'000 };
+
+} // namespace
+
+std::string
+LinkAddress(const MemberRecord& aRecord)
+{
+  return AddressWithPort(aRecord.node, aRecord.linkPort);
+}
+
+MemberAgent::MemberAgent(Services aServices,
+                         MemberRecord aSelf,
+                         std::vector<std::string> aSeeds,
+                         std::uint64_t aSeed)
+  : mServices(std::move(aServices))
+  , mSeeds(std::move(aSeeds))
+  , mRandom(aSeed)
+  , mMembers(nodes::MembershipOptions{}, std::move(aSelf), aSeed + 1)
+  , mBackoff(kFirstRetry, kLongestRetry)
+  , mNextSync(mServices.scheduler.Now() + kSyncEvery)
+{
+}
+
+void
+MemberAgent::Bootstrap()
+{
+  mBackoff.Reset();
+  ReadRows();
+  WriteRow();
+}
+
+void
+MemberAgent::Tick()
+{
+  const Timestamp now = mServices.scheduler.Now();
+  Send(mMembers.Tick(now));
+  if (mMembers.TakeSyncDue()) {
+    // Spread over the members of both sides of a healed partition.
+    const auto delay = Milliseconds(static_cast<std::int64_t>(
+      mRandom() % static_cast<std::uint64_t>(kSyncAfterReturn.count())));
+    mNextSync = std::min(mNextSync, now + delay);
+  }
+  if (now >= mNextSync) {
+    mNextSync = now + kSyncEvery;
+    ReadRows();
+  }
+}
+
+void
+MemberAgent::Receive(const nodes::GossipMessage& aMessage)
+{
+  Send(mMembers.Receive(aMessage, mServices.scheduler.Now()));
+}
+
+nodes::JoinAnswer
+MemberAgent::OnJoin(const nodes::MemberUpdate& aPeer)
+{
+  nodes::JoinAnswer answer;
+  answer.rememberedVersion = mMembers.RememberedVersion(aPeer.record.node);
+  mMembers.Learn(aPeer, mServices.scheduler.Now());
+  answer.members = mMembers.Everything();
+  return mServices.completeAnswer(answer);
+}
+
+void
+MemberAgent::Send(const std::vector<nodes::Datagram>& aDatagrams)
+{
+  for (const auto& it : aDatagrams) {
+    mServices.send(it);
+  }
+}
+
+void
+MemberAgent::RemoveRow()
+{
+  platform::Transaction transaction;
+  transaction.writes.push_back(
+    { platform::kMemberPrefix + ToString(mMembers.Self().node), "", true });
+  mServices.platform.Commit(std::move(transaction),
+                            [](bool, const platform::PlatformReason&) {});
+}
+
+std::string
+MemberAgent::LinkAddressOf(nodes::NodeId aNode) const
+{
+  const auto it = mMembers.Members().find(aNode);
+  return it == mMembers.Members().end() ? std::string()
+                                        : LinkAddress(it->second.record);
+}
+
+void
+MemberAgent::ReadRows()
+{
+  const auto onRows =
+    [this](const std::optional<std::vector<platform::Row>>& aRows,
+           const platform::PlatformReason&) {
+      std::vector<std::string> addresses = mSeeds;
+      if (aRows) {
+        for (const auto& it : *aRows) {
+          addresses.push_back(it.value);
+        }
+      }
+      for (const auto& [id, member] : mMembers.Members()) {
+        if (member.liveness == Liveness::kAlive) {
+          addresses.push_back(LinkAddress(member.record));
+        }
+      }
+      JoinSome(std::move(addresses));
+    };
+  // From a random place, so that a herd doesn't ask the same few peers.
+  const std::string first =
+    platform::kMemberPrefix + std::to_string(mRandom() % 256);
+  mServices.platform.ReadRange(
+    platform::kMemberPrefix,
+    first,
+    kRowsRead,
+    [this, onRows](const std::optional<std::vector<platform::Row>>& aRows,
+                   const platform::PlatformReason& aReason) {
+      if (aRows && aRows->size() < kPeersAsked) {
+        mServices.platform.ReadRange(
+          platform::kMemberPrefix, platform::kMemberPrefix, kRowsRead, onRows);
+        return;
+      }
+      onRows(aRows, aReason);
+    });
+}
+
+void
+MemberAgent::WriteRow()
+{
+  if (mRowWritten) {
+    return;
+  }
+  platform::Transaction transaction;
+  transaction.writes.push_back(
+    { platform::kMemberPrefix + ToString(mMembers.Self().node),
+      LinkAddress(mMembers.Self()),
+      false });
+  mServices.platform.Commit(
+    std::move(transaction),
+    [this](bool aDone, const platform::PlatformReason&) {
+      mRowWritten |= aDone;
+    });
+}
+
+void
+MemberAgent::JoinSome(std::vector<std::string> aAddresses)
+{
+  std::ranges::sort(aAddresses);
+  aAddresses.erase(std::unique(aAddresses.begin(), aAddresses.end()),
+                   aAddresses.end());
+  std::erase(aAddresses, LinkAddress(mMembers.Self()));
+  std::ranges::shuffle(aAddresses, mRandom);
+  aAddresses.resize(std::min(aAddresses.size(), kPeersAsked));
+  mRoundAnswered = false;
+  mOutstanding = static_cast<std::uint32_t>(aAddresses.size());
+  if (aAddresses.empty()) {
+    OnRoundEnd();
+    return;
+  }
+  for (const auto& it : aAddresses) {
+    mServices.peers.Join(
+      it,
+      { mMembers.Self(), Liveness::kAlive },
+      [this](const std::optional<nodes::JoinAnswer>& aAnswer) {
+        if (aAnswer) {
+          mRoundAnswered = true;
+          for (const auto& update : aAnswer->members) {
+            mMembers.Learn(update, mServices.scheduler.Now());
+          }
+          mServices.onJoinAnswer(*aAnswer);
+        }
+        if (mOutstanding > 0 && --mOutstanding == 0) {
+          OnRoundEnd();
+        }
+      });
+  }
+}
+
+void
+MemberAgent::OnRoundEnd()
+{
+  mServices.onPeersAsked();
+  if ((mRoundAnswered && mRowWritten) || mRetryPending) {
+    return;
+  }
+  // Alone, or the row is missing: look again, ever more rarely.
+  mRetryPending = true;
+  mServices.scheduler.RunAfter(mBackoff.Next(mRandom), [this] {
+    mRetryPending = false;
+    ReadRows();
+    WriteRow();
+  });
+}
+
+} // namespace knapweedpaddle::node
--- /dev/null
+++ b/src/node/MoveAgent.cpp
@@ -0,0 +1,224 @@
+#include "knapweedpaddle/node/MoveAgent.h"
+
+#include "knapweedpaddle/moves/MoveSchedule.h"
+#include "knapweedpaddle/node/MemberAgent.h"
+#include "knapweedpaddle/nodes/ZoneReaders.h"
+
+#include <nlohmann/json.hpp>
+
+namespace knapweedpaddle::node {
+
+using config::MoveEntry;
+using config::MoveState;
+using nodes::MoveProgress;
+
+namespace {
+
+constexpr std::size_t kJudgesPerZone = 2;
+constexpr std::size_t kRecordersPerZone = 1;
+constexpr std::uint32_t kSpreadEverySeconds = 2;
+constexpr const char* kJudgeDuty = "move-judge";
+constexpr const char* kRecorderDuty = "move-recorder";
+
+} // namespace
+
+MoveAgent::MoveAgent(Services aServices)
+  : mServices(std::move(aServices))
+  , mJudge(mServices.members.Self().zone)
+{
+}
+
+void
+MoveAgent::OnSecond()
+{
+  JudgeMoves();
+  RecordMoves();
+  // News is sent on at once; this repairs what was lost.
+  if (const auto all = mBoard.All();
+      ++mSeconds % kSpreadEverySeconds == 0 && !all.empty()) {
+    auto messages = mServices.members.ProgressMessages(all);
+    messages.resize(std::min<std::size_t>(messages.size(), 1));
+    mServices.send(messages);
+  }
+}
+
+void
+MoveAgent::JudgeMoves()
+{
+  if (nodes::HoldsDuty(mServices.members, kJudgeDuty, kJudgesPerZone)) {
+    Merge(mJudge.Judge(
+      *mServices.store.Current(), mBoard, mServices.scheduler.Wall()));
+  }
+}
+
+void
+MoveAgent::Merge(const std::vector<MoveProgress>& aProgress)
+{
+  std::vector<MoveProgress> news;
+  for (const auto& it : aProgress) {
+    if (mBoard.Merge(it)) {
+      news.push_back(it);
+      mServices.onNews(it);
+    }
+  }
+  if (!news.empty()) {
+    mBoard.Prune(*mServices.store.Current());
+    mServices.onSharesChanged();
+    mServices.send(mServices.members.ProgressMessages(news));
+  }
+}
+
+void
+MoveAgent::TakeEvidence(const std::string& aService,
+                        const backends::EvidenceTable& aEvidence)
+{
+  const config::SnapshotPtr snapshot = mServices.store.Current();
+  const MoveEntry* move = snapshot->OpenMoveOf(aService);
+  if (!move) {
+    return;
+  }
+  const nodes::MemberRecord& self = mServices.members.Self();
+  moves::EvidenceReport report;
+  report.node = self.node;
+  report.incarnation = self.incarnation;
+  for (const auto& [key, sums] : aEvidence) {
+    const auto* route =
+      snapshot->Get<config::RouteEntry>(config::EntryKind::kRoute, key.route);
+    if (!route || route->service != aService) {
+      continue;
+    }
+    const moves::VersionCounts counts{ sums.calls, sums.failures, sums.slow };
+    moves::RouteEvidence evidence;
+    evidence.move = move->header.name;
+    evidence.route = key.route;
+    if (key.version == move->toVersion) {
+      evidence.after = counts;
+    } else if (key.version == move->fromVersion) {
+      evidence.before = counts;
+    }
+    report.routes.push_back(std::move(evidence));
+  }
+  for (const auto it : nodes::DutyHolders(
+         mServices.members, self.zone, kJudgeDuty, kJudgesPerZone)) {
+    if (it == self.node) {
+      mJudge.Report(report);
+    } else {
+      mServices.peers.Report(
+        LinkAddress(mServices.members.Members().at(it).record), report);
+    }
+  }
+}
+
+void
+MoveAgent::OnConfigChanged()
+{
+  mBoard.Prune(*mServices.store.Current());
+}
+
+void
+MoveAgent::RecordMoves()
+{
+  if (!nodes::HoldsDuty(mServices.members, kRecorderDuty, kRecordersPerZone)) {
+    return;
+  }
+  const config::SnapshotPtr snapshot = mServices.store.Current();
+  for (const auto& [id, entry] : snapshot->entries) {
+    const auto* move = std::get_if<MoveEntry>(&entry);
+    if (!move || move->state != MoveState::kOpen) {
+      continue;
+    }
+    if (const auto verdict = mBoard.Verdict(*move)) {
+      Record(*move, MoveState::kTakenBack, *verdict);
+      continue;
+    }
+    const auto zones = ZonesOf(move->service);
+    if (!zones.empty() && mBoard.IsBakedIn(*move, zones)) {
+      Record(*move, MoveState::kDone, "every zone moved on its own evidence");
+    }
+  }
+}
+
+void
+MoveAgent::Record(const MoveEntry& aMove, MoveState aState, std::string aReason)
+{
+  const std::string name = aMove.header.name;
+  if (!mRecording.insert(name).second) {
+    return;
+  }
+  config::ChangeRequest request;
+  // The same for every node that records this end, so that it counts once.
+  request.operationId =
+    "move-end-" + name + "-" + std::to_string(aMove.header.revision);
+  MoveEntry ended = aMove;
+  ended.state = aState;
+  ended.reason = std::move(aReason);
+  request.upserts.emplace_back(ended);
+  const auto* service = mServices.store.Current()->Get<config::ServiceEntry>(
+    config::EntryKind::kService, aMove.service);
+  if (aState == MoveState::kDone && service) {
+    config::ServiceEntry moved = *service;
+    moved.version = aMove.toVersion;
+    request.upserts.emplace_back(moved);
+  }
+  mServices.acceptor.Accept(
+    std::move(request),
+    operators::kSystemOwner,
+    [this, name](const operators::AcceptResult& aResult) {
+      mRecording.erase(name);
+      mServices.onRecorded(aResult.outcome);
+    });
+}
+
+std::set<std::string>
+MoveAgent::ZonesOf(const std::string& aService) const
+{
+  std::set<std::string> zones;
+  const auto add = [&](const nodes::MemberRecord& aRecord) {
+    if (aRecord.service == aService &&
+        aRecord.state == nodes::MemberState::kServing) {
+      zones.insert(aRecord.zone);
+    }
+  };
+  add(mServices.members.Self());
+  for (const auto& [id, member] : mServices.members.Members()) {
+    if (member.liveness != nodes::Liveness::kDead) {
+      add(member.record);
+    }
+  }
+  return zones;
+}
+
+std::string
+MoveAgent::Explain(const std::string& aMove) const
+{
+  using Json = nlohmann::ordered_json;
+  const auto* move =
+    mServices.store.Current()->Get<MoveEntry>(config::EntryKind::kMove, aMove);
+  if (!move) {
+    return {};
+  }
+  Json zones = Json::array();
+  for (const auto& it : mBoard.Of(*move)) {
+    zones.push_back(Json{ { "zone", it.zone },
+                          { "stage", it.stage },
+                          { "share", moves::ShareAt(*move, it.stage) },
+                          { "condemned", it.condemned },
+                          { "reason", it.reason } });
+  }
+  Json json{ { "move", aMove },
+             { "service", move->service },
+             { "from_version", move->fromVersion },
+             { "to_version", move->toVersion },
+             { "state", NameOf(config::kMoveStateNames, move->state) },
+             { "reason", move->reason },
+             { "zones", zones } };
+  if (const auto it = mJudge.Opinions().find(aMove);
+      it != mJudge.Opinions().end()) {
+    json["late"] = it->second.late;
+    json["suspicion"] = it->second.suspicion;
+    json["routes_without_enough_calls"] = it->second.unproven;
+  }
+  return json.dump();
+}
+
+} // namespace knapweedpaddle::node
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -32,7 +32,8 @@
   return static_cast<std::uint64_t>(device()) << 32 | device();
 }
 
-/** Blocks the stop signals in all threads and returns a descriptor that reads them. */
+/** Blocks the stop signals in all threads and returns a descriptor that reads
+ * them. */
 int
 OpenStopSignals()
 {
@@ -52,12 +53,15 @@
 public:
   explicit Impl(settings::NodeSettings aSettings)
     : mSettings(std::move(aSettings))
-    , mTracer("knapweedd " + mSettings.address + ":" + std::to_string(mSettings.callerPort),
+    , mTracer("knapweedd " + mSettings.address + ":" +
+                std::to_string(mSettings.callerPort),
               mSettings.traceShare,
               RandomSeed())
     , mJournal(kJournalSize)
     , mClaims(mTrafficLoop, mControlLoop)
-    , mControl({ mControlLoop, mMetrics, mTracer, mJournal }, mSettings, RandomSeed())
+    , mControl({ mControlLoop, mMetrics, mTracer, mJournal },
+               mSettings,
+               RandomSeed())
     , mTraffic({ mTrafficLoop,
                  mClaims,
                  mMetrics,
@@ -65,7 +69,8 @@
                  mJournal,
                  [this](nodes::LinkRequest aRequest,
                         std::function<void(nodes::LinkResponse)> aRespond) {
-                   mControl.HandleLink(std::move(aRequest), std::move(aRespond));
+                   mControl.HandleLink(std::move(aRequest),
+                                       std::move(aRespond));
                  },
                  [this](const backends::EvidenceTable& aEvidence) {
                    mControl.TakeEvidence(aEvidence);
@@ -73,14 +78,16 @@
                  [this] { mControl.NotePause(); } },
                mSettings,
                RandomSeed())
-    , mServer(
-        { [this](callers::CallRequest aRequest, callers::CallCallback aCallback) {
-           mTraffic.Forward(std::move(aRequest), std::move(aCallback));
-         },
-          [this](callers::CallRequest aRequest, callers::CallerServer::Respond aRespond) {
-            mControl.HandleNodeRequest(std::move(aRequest), std::move(aRespond));
-          } },
-        mSettings.callerThreads)
+    , mServer({ [this](callers::CallRequest aRequest,
+                       callers::CallCallback aCallback) {
+                 mTraffic.Forward(std::move(aRequest), std::move(aCallback));
+               },
+                [this](callers::CallRequest aRequest,
+                       callers::CallerServer::Respond aRespond) {
+                  mControl.HandleNodeRequest(std::move(aRequest),
+                                             std::move(aRespond));
+                } },
+              mSettings.callerThreads)
   {
     mControl.SetTraffic(mTraffic);
     mClaims.SetBatcher(mControl.Claims());
@@ -91,10 +98,12 @@
     const int signals = OpenStopSignals();
     std::string reason;
     if (!mTraffic.Listen()) {
-      return Fail("can't listen on link_port " + std::to_string(mSettings.linkPort));
+      return Fail("can't listen on link_port " +
+                  std::to_string(mSettings.linkPort));
     }
     if (!mControl.Start()) {
-      return Fail("can't bind gossip_port " + std::to_string(mSettings.gossipPort));
+      return Fail("can't bind gossip_port " +
+                  std::to_string(mSettings.gossipPort));
     }
     if (!mServer.Start(mSettings.address, mSettings.callerPort, reason)) {
       return Fail(reason);
@@ -127,7 +136,10 @@
 private:
   static int Fail(const std::string& aReason)
   {
-    LogEvent(LogCategory::kNode, LogLevel::kError, "not_started", { { "reason", aReason } });
+    LogEvent(LogCategory::kNode,
+             LogLevel::kError,
+             "not_started",
+             { { "reason", aReason } });
     return kNotStarted;
   }
 
--- a/src/node/ServingGate.cpp
+++ b/src/node/ServingGate.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/** How long a node that already holds a configuration waits for anybody at all. */
+/** How long a node that already holds a configuration waits for anybody at all.
+ */
 constexpr Milliseconds kAloneAfter{ 3000 };
 
 } // namespace
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -19,7 +19,8 @@
 nodes::NodeId
 NodeOf(const settings::NodeSettings& aSettings)
 {
-  return *nodes::ParseNodeId(aSettings.address + ":" + std::to_string(aSettings.gossipPort));
+  return *nodes::ParseNodeId(aSettings.address + ":" +
+                             std::to_string(aSettings.gossipPort));
 }
 
 } // namespace
@@ -31,8 +32,9 @@
   , mSettings(aSettings)
   , mPauses(kLongestGap)
   , mStaleness(kStaleGap)
-  , mOwner({ mServices.loop, mServices.claims, mServices.metrics, mServices.tracer },
-           aSettings.checkSlots)
+  , mOwner(
+      { mServices.loop, mServices.claims, mServices.metrics, mServices.tracer },
+      aSettings.checkSlots)
   , mLinks(mServices.loop, nodes::LinkClientOptions{})
   , mForwarder({ mServices.loop,
                  mLinks,
@@ -42,9 +44,10 @@
                  mServices.journal },
                { NodeOf(aSettings), aSettings.zone },
                aSeed)
-  , mServer(mServices.loop, [this](LinkRequest aRequest, const LinkResponderPtr& aResponder) {
-    OnLinkRequest(std::move(aRequest), aResponder);
-  })
+  , mServer(mServices.loop,
+            [this](LinkRequest aRequest, const LinkResponderPtr& aResponder) {
+              OnLinkRequest(std::move(aRequest), aResponder);
+            })
 {
   mServices.loop.RunEvery(kTick, [this] { OnTick(); });
   mServices.loop.RunEvery(kEvidenceEvery, [this] {
@@ -64,19 +67,23 @@
 void
 TrafficPlane::SetView(routing::RoutingViewPtr aView)
 {
-  mServices.loop.Post([this, view = std::move(aView)] { mForwarder.SetView(view); });
+  mServices.loop.Post(
+    [this, view = std::move(aView)] { mForwarder.SetView(view); });
 }
 
 void
 TrafficPlane::SetBackend(std::optional<backends::BackendServer> aBackend)
 {
-  mServices.loop.Post([this, backend = std::move(aBackend)] { mOwner.SetBackend(backend); });
+  mServices.loop.Post(
+    [this, backend = std::move(aBackend)] { mOwner.SetBackend(backend); });
 }
 
 void
-TrafficPlane::Forward(callers::CallRequest aRequest, callers::CallCallback aCallback)
+TrafficPlane::Forward(callers::CallRequest aRequest,
+                      callers::CallCallback aCallback)
 {
-  const auto request = std::make_shared<callers::CallRequest>(std::move(aRequest));
+  const auto request =
+    std::make_shared<callers::CallRequest>(std::move(aRequest));
   mServices.loop.Post([this, request, callback = std::move(aCallback)] {
     CloseAfterPause();
     mForwarder.Forward(std::move(*request), callback);
@@ -119,16 +126,21 @@
 }
 
 void
-TrafficPlane::OnLinkRequest(LinkRequest aRequest, const LinkResponderPtr& aResponder)
+TrafficPlane::OnLinkRequest(LinkRequest aRequest,
+                            const LinkResponderPtr& aResponder)
 {
   if (aRequest.path == nodes::kCallPath) {
     OnCall(std::move(aRequest), aResponder);
     return;
   }
-  mServices.onControl(std::move(aRequest), [this, aResponder](LinkResponse aResponse) {
-    const auto response = std::make_shared<LinkResponse>(std::move(aResponse));
-    mServices.loop.Post([aResponder, response] { aResponder->Respond(*response); });
-  });
+  mServices.onControl(std::move(aRequest),
+                      [this, aResponder](LinkResponse aResponse) {
+                        const auto response =
+                          std::make_shared<LinkResponse>(std::move(aResponse));
+                        mServices.loop.Post([aResponder, response] {
+                          aResponder->Respond(*response);
+                        });
+                      });
 }
 
 void
@@ -154,17 +166,20 @@
                            std::chrono::system_clock::now().time_since_epoch())
                            .count();
   const auto run = mOwner.Run(
-    std::move(*call), [this, aResponder, parent, span, now, startWall](callers::CallResult aResult) {
+    std::move(*call),
+    [this, aResponder, parent, span, now, startWall](
+      const callers::CallResult& aResult) {
       if (span.sampled) {
-        const auto elapsed =
-          std::chrono::duration_cast<Microseconds>(std::chrono::steady_clock::now() - now);
-        mServices.tracer.Record({ span.traceId,
-                                  span.spanId,
-                                  parent.spanId,
-                                  "owner",
-                                  startWall,
-                                  elapsed.count(),
-                                  std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) });
+        const auto elapsed = std::chrono::duration_cast<Microseconds>(
+          std::chrono::steady_clock::now() - now);
+        mServices.tracer.Record(
+          { span.traceId,
+            span.spanId,
+            parent.spanId,
+            "owner",
+            startWall,
+            elapsed.count(),
+            std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) });
       }
       aResponder->Respond(nodes::EncodeCallResult(aResult, mOwner.BusySlots()));
     });
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -25,12 +25,16 @@
     telemetry::Tracer& tracer;
     callers::CallJournal& journal;
     /** Answers link requests that are not calls; any thread may respond. */
-    std::function<void(nodes::LinkRequest, std::function<void(nodes::LinkResponse)>)> onControl;
+    std::function<void(nodes::LinkRequest,
+                       std::function<void(nodes::LinkResponse)>)>
+      onControl;
     std::function<void(const backends::EvidenceTable&)> onEvidence;
     std::function<void()> onPause;
   };
 
-  TrafficPlane(Services aServices, const settings::NodeSettings& aSettings, std::uint64_t aSeed);
+  TrafficPlane(Services aServices,
+               const settings::NodeSettings& aSettings,
+               std::uint64_t aSeed);
 
   /** Listens for links; false when the port is taken. Before the loop runs. */
   bool Listen();
@@ -51,14 +55,16 @@
   std::size_t InFlight() const;
 
 private:
-  void OnLinkRequest(nodes::LinkRequest aRequest, const nodes::LinkResponderPtr& aResponder);
-  void OnCall(nodes::LinkRequest aRequest, const nodes::LinkResponderPtr& aResponder);
+  void OnLinkRequest(nodes::LinkRequest aRequest,
+                     const nodes::LinkResponderPtr& aResponder);
+  void OnCall(nodes::LinkRequest aRequest,
+              const nodes::LinkResponderPtr& aResponder);
   void OnTick();
   void CloseAfterPause();
 
   Services mServices;
   const settings::NodeSettings& mSettings;
-  PauseDetector mPauses;    ///< after which the configuration may be out of date
+  PauseDetector mPauses; ///< after which the configuration may be out of date
   PauseDetector mStaleness; ///< after which calls may have waited unread
   backends::CallOwner mOwner;
   nodes::LinkClient mLinks;
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -13,13 +13,15 @@
 namespace {
 
 constexpr int kStatusOk = 200;
-constexpr const char* kForwardedPrefix = "h-"; ///< marks headers that are passed on
+constexpr const char* kForwardedPrefix =
+  "h-"; ///< marks headers that are passed on
 
 std::optional<std::uint64_t>
 Number(const std::string& aText)
 {
   std::uint64_t value = 0;
-  const auto [end, ec] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  const auto [end, ec] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), value);
   if (ec != std::errc() || end != aText.data() + aText.size()) {
     return std::nullopt;
   }
@@ -27,7 +29,8 @@
 }
 
 void
-AddForwarded(std::vector<LinkHeader>& aOut, const std::vector<callers::HttpHeader>& aHeaders)
+AddForwarded(std::vector<LinkHeader>& aOut,
+             const std::vector<callers::HttpHeader>& aHeaders)
 {
   for (const auto& it : aHeaders) {
     aOut.push_back({ kForwardedPrefix + it.name, it.value });
@@ -53,21 +56,25 @@
 {
   LinkRequest request;
   request.path = kCallPath;
-  request.timeout = std::chrono::duration_cast<Milliseconds>(aCall.deadline - aNow);
-  const auto left = std::chrono::duration_cast<Microseconds>(aCall.deadline - aNow);
-  request.headers = { { "protocol", std::to_string(kProtocolVersion) },
-                      { "call-id", aCall.callId },
-                      { "service", aCall.service },
-                      { "version", aCall.version },
-                      { "route", aCall.route },
-                      { "class", std::string(NameOf(config::kCallClassNames, aCall.callClass)) },
-                      { "key", aCall.idempotencyKey },
-                      { "timeout-us", std::to_string(left.count()) },
-                      { "slow-ms", std::to_string(aCall.slowAfter.count()) },
-                      { "trace", aCall.trace.ToHeader() },
-                      { "method", aCall.method },
-                      { "target", aCall.path },
-                      { "length", std::to_string(aCall.body.size()) } };
+  request.timeout =
+    std::chrono::duration_cast<Milliseconds>(aCall.deadline - aNow);
+  const auto left =
+    std::chrono::duration_cast<Microseconds>(aCall.deadline - aNow);
+  request.headers = {
+    { "protocol", std::to_string(kProtocolVersion) },
+    { "call-id", aCall.callId },
+    { "service", aCall.service },
+    { "version", aCall.version },
+    { "route", aCall.route },
+    { "class", std::string(NameOf(config::kCallClassNames, aCall.callClass)) },
+    { "key", aCall.idempotencyKey },
+    { "timeout-us", std::to_string(left.count()) },
+    { "slow-ms", std::to_string(aCall.slowAfter.count()) },
+    { "trace", aCall.trace.ToHeader() },
+    { "method", aCall.method },
+    { "target", aCall.path },
+    { "length", std::to_string(aCall.body.size()) }
+  };
   AddForwarded(request.headers, aCall.headers);
   request.body = aCall.body;
   return request;
@@ -80,7 +87,8 @@
     return HeaderValue(aRequest.headers, aName);
   };
   if (header("protocol") != std::to_string(kProtocolVersion)) {
-    aReason = "protocol version \"" + header("protocol") + "\" is not known here";
+    aReason =
+      "protocol version \"" + header("protocol") + "\" is not known here";
     return std::nullopt;
   }
   const auto left = Number(header("timeout-us"));
@@ -105,7 +113,8 @@
   call.idempotencyKey = header("key");
   call.deadline = aNow + Microseconds(static_cast<std::int64_t>(*left));
   call.slowAfter = Milliseconds(static_cast<std::int64_t>(*slow));
-  call.trace = telemetry::TraceContext::Parse(header("trace")).value_or(telemetry::TraceContext{});
+  call.trace = telemetry::TraceContext::Parse(header("trace"))
+                 .value_or(telemetry::TraceContext{});
   call.method = header("method");
   call.path = header("target");
   call.headers = TakeForwarded(aRequest.headers);
@@ -118,13 +127,15 @@
 {
   LinkResponse response;
   response.status = kStatusOk;
-  response.headers = { { "call-id", aResult.callId },
-                       { "outcome",
-                         std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) },
-                       { "status", std::to_string(aResult.status) },
-                       { "reason", aResult.reason },
-                       { "busy", std::to_string(aBusySlots) },
-                       { "length", std::to_string(aResult.body.size()) } };
+  response.headers = {
+    { "call-id", aResult.callId },
+    { "outcome",
+      std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) },
+    { "status", std::to_string(aResult.status) },
+    { "reason", aResult.reason },
+    { "busy", std::to_string(aBusySlots) },
+    { "length", std::to_string(aResult.body.size()) }
+  };
   AddForwarded(response.headers, aResult.headers);
   response.body = aResult.body;
   return response;
@@ -140,8 +151,9 @@
   const auto status = Number(header("status"));
   const auto busy = Number(header("busy"));
   const auto length = Number(header("length"));
-  if (aResponse.status != kStatusOk || !outcome || !status || !busy || !length ||
-      *length != aResponse.body.size() || header("call-id") != aCallId) {
+  if (aResponse.status != kStatusOk || !outcome || !status || !busy ||
+      !length || *length != aResponse.body.size() ||
+      header("call-id") != aCallId) {
     return std::nullopt;
   }
   DecodedCallResult decoded;
--- a/src/nodes/GossipCodec.cpp
+++ b/src/nodes/GossipCodec.cpp
@@ -30,8 +30,9 @@
 FromWire(const wire::MemberUpdate& aUpdate)
 {
   const wire::MemberRecord& in = aUpdate.record();
-  if (in.node() == 0 || in.link_port() > kMaxPort || in.caller_port() > kMaxPort ||
-      in.state() >= kMemberStateNames.size() || aUpdate.liveness() >= kLivenessNames.size()) {
+  if (in.node() == 0 || in.link_port() > kMaxPort ||
+      in.caller_port() > kMaxPort || in.state() >= kMemberStateNames.size() ||
+      aUpdate.liveness() >= kLivenessNames.size()) {
     return std::nullopt;
   }
   MemberUpdate update;
@@ -108,8 +109,8 @@
 DecodeGossip(const std::string& aBytes, const std::string& aMesh)
 {
   wire::Gossip in;
-  if (!in.ParseFromString(aBytes) || in.protocol() != kProtocolVersion || in.mesh() != aMesh ||
-      in.sender() == 0) {
+  if (!in.ParseFromString(aBytes) || in.protocol() != kProtocolVersion ||
+      in.mesh() != aMesh || in.sender() == 0) {
     return std::nullopt;
   }
   GossipMessage message;
@@ -168,7 +169,8 @@
 {
   wire::JoinAnswer in;
   JoinAnswer answer;
-  if (!in.ParseFromString(aBytes) || !ReadUpdates(in.members(), answer.members)) {
+  if (!in.ParseFromString(aBytes) ||
+      !ReadUpdates(in.members(), answer.members)) {
     return std::nullopt;
   }
   answer.configVersion = in.config_version();
--- a/src/nodes/GossipSocket.cpp
+++ b/src/nodes/GossipSocket.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxDatagramBytes = 64 * 1024;
+constexpr std::size_t kMaxDatagramBytes = 65536;
 constexpr std::size_t kUdpHeaderBytes = 28; ///< IPv4 and UDP headers
 
 sockaddr_in
@@ -28,7 +28,9 @@
 
 } // namespace
 
-GossipSocket::GossipSocket(std::string aMesh, Handler aHandler, ByteCounter aCounter)
+GossipSocket::GossipSocket(std::string aMesh,
+                           Handler aHandler,
+                           ByteCounter aCounter)
   : mMesh(std::move(aMesh))
   , mHandler(std::move(aHandler))
   , mCounter(std::move(aCounter))
@@ -47,8 +49,9 @@
 {
   mSocket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in address = ToSockaddr(aAddress);
-  if (mSocket < 0 ||
-      bind(mSocket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+  if (mSocket < 0 || bind(mSocket,
+                          reinterpret_cast<const sockaddr*>(&address),
+                          sizeof(address)) != 0) {
     return false;
   }
   aLoop.WatchReadable(mSocket, [this] { Receive(); });
@@ -81,7 +84,8 @@
       return;
     }
     mCounter(0, static_cast<std::size_t>(n) + kUdpHeaderBytes);
-    const auto message = DecodeGossip(buf.substr(0, static_cast<std::size_t>(n)), mMesh);
+    const auto message =
+      DecodeGossip(buf.substr(0, static_cast<std::size_t>(n)), mMesh);
     if (!message) {
       ++mGarbage;
       continue;
--- a/src/nodes/LinkClient.cpp
+++ b/src/nodes/LinkClient.cpp
@@ -43,14 +43,18 @@
   {
   }
 
-  RequestId Send(const std::string& aAddress, const LinkRequest& aRequest, Callback aCallback)
+  RequestId Send(const std::string& aAddress,
+                 const LinkRequest& aRequest,
+                 Callback aCallback)
   {
     const RequestId id = ++mLastId;
     Request& request = mRequests[id];
     request.callback = std::move(aCallback);
-    request.timer = mLoop.RunAfter(aRequest.timeout, [this, id] { OnTimeout(id); });
+    request.timer =
+      mLoop.RunAfter(aRequest.timeout, [this, id] { OnTimeout(id); });
     Connection* connection = Usable(aAddress);
-    const std::int32_t stream = connection ? connection->session->SubmitRequest(aRequest) : -1;
+    const std::int32_t stream =
+      connection ? connection->session->SubmitRequest(aRequest) : -1;
     if (stream < 0) {
       mLoop.Post([this, id, aAddress] {
         Finish(id, std::nullopt, LinkError::kNotSent, "no link to " + aAddress);
@@ -60,7 +64,10 @@
     // Submitting may have failed the connection, which is then gone already.
     if (!mConnections.contains(connection)) {
       mLoop.Post([this, id, aAddress] {
-        Finish(id, std::nullopt, LinkError::kBroken, "link to " + aAddress + " broke");
+        Finish(id,
+               std::nullopt,
+               LinkError::kBroken,
+               "link to " + aAddress + " broke");
       });
       return id;
     }
@@ -109,22 +116,25 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(value));
     address.sin_addr.s_addr = htonl(static_cast<std::uint32_t>(value >> 16));
-    bufferevent* buffer = bufferevent_socket_new(mLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    if (bufferevent_socket_connect(
-          buffer, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    bufferevent* buffer =
+      bufferevent_socket_new(mLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (bufferevent_socket_connect(buffer,
+                                   reinterpret_cast<sockaddr*>(&address),
+                                   sizeof(address)) != 0) {
       bufferevent_free(buffer);
       return nullptr;
     }
     const int on = 1;
-    setsockopt(bufferevent_getfd(buffer), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(
+      bufferevent_getfd(buffer), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 
     auto owned = std::make_shared<Connection>();
     Connection* connection = owned.get();
     connection->address = aAddress;
     connection->session = std::make_unique<LinkSession>(
       LinkSession::Role::kClient, buffer, HandlerFor(connection));
-    connection->timer =
-      mLoop.RunAfter(mOptions.connectTimeout, [this, connection] { OnTimer(connection); });
+    connection->timer = mLoop.RunAfter(
+      mOptions.connectTimeout, [this, connection] { OnTimer(connection); });
     mConnections.emplace(connection, std::move(owned));
     mByAddress[aAddress] = connection;
     return connection;
@@ -140,7 +150,8 @@
     handler.onMessage = [this, aConnection](std::int32_t aStream) {
       OnResponse(*aConnection, aStream);
     };
-    handler.onStreamClosed = [this, aConnection](std::int32_t aStream, std::uint32_t aCode) {
+    handler.onStreamClosed = [this, aConnection](std::int32_t aStream,
+                                                 std::uint32_t aCode) {
       OnStreamClosed(*aConnection, aStream, aCode);
     };
     handler.onPong = [aConnection] { aConnection->pingOutstanding = false; };
@@ -154,7 +165,8 @@
   void RestartTimer(Connection* aConnection, Milliseconds aDelay)
   {
     mLoop.Cancel(aConnection->timer);
-    aConnection->timer = mLoop.RunAfter(aDelay, [this, aConnection] { OnTimer(aConnection); });
+    aConnection->timer =
+      mLoop.RunAfter(aDelay, [this, aConnection] { OnTimer(aConnection); });
   }
 
   void OnTimer(Connection* aConnection)
@@ -169,7 +181,8 @@
       return;
     }
     const auto idle = std::chrono::steady_clock::now() - aConnection->lastUsed;
-    if (aConnection->requests.empty() && (aConnection->closing || idle > mOptions.idleClose)) {
+    if (aConnection->requests.empty() &&
+        (aConnection->closing || idle > mOptions.idleClose)) {
       Drop(aConnection, LinkError::kBroken, "idle");
       return;
     }
@@ -197,11 +210,15 @@
     const RequestId id = it->second;
     aConnection.requests.erase(it);
     LinkSession::Stream* stream = aConnection.session->Find(aStream);
-    LinkResponse response{ stream->status, std::move(stream->headers), std::move(stream->body) };
+    LinkResponse response{ stream->status,
+                           std::move(stream->headers),
+                           std::move(stream->body) };
     Finish(id, std::move(response), LinkError::kBroken, "");
   }
 
-  void OnStreamClosed(Connection& aConnection, std::int32_t aStream, std::uint32_t aCode)
+  void OnStreamClosed(Connection& aConnection,
+                      std::int32_t aStream,
+                      std::uint32_t aCode)
   {
     const auto it = aConnection.requests.find(aStream);
     if (it == aConnection.requests.end()) {
@@ -216,7 +233,10 @@
     } else if (stream && stream->tooLarge) {
       code = LinkError::kTooLarge;
     }
-    Finish(id, std::nullopt, code, "stream to " + aConnection.address + " was reset");
+    Finish(id,
+           std::nullopt,
+           code,
+           "stream to " + aConnection.address + " was reset");
   }
 
   void OnTimeout(RequestId aRequest)
@@ -268,7 +288,8 @@
     StopUsing(aConnection);
     mLoop.Cancel(connection->timer);
     const LinkError code = connection->connected ? aCode : LinkError::kNotSent;
-    // The session may be on the call stack, so callbacks and its end come later.
+    // The session may be on the call stack, so callbacks and its end come
+    // later.
     mLoop.Post([this, connection, code, aWhy] {
       for (const auto& [stream, id] : std::exchange(connection->requests, {})) {
         Finish(id, std::nullopt, code, connection->address + ": " + aWhy);
@@ -293,7 +314,9 @@
 LinkClient::~LinkClient() = default;
 
 LinkClient::RequestId
-LinkClient::Send(const std::string& aAddress, const LinkRequest& aRequest, Callback aCallback)
+LinkClient::Send(const std::string& aAddress,
+                 const LinkRequest& aRequest,
+                 Callback aCallback)
 {
   return mImpl->Send(aAddress, aRequest, std::move(aCallback));
 }
--- a/src/nodes/LinkServer.cpp
+++ b/src/nodes/LinkServer.cpp
@@ -47,13 +47,17 @@
     void Respond(const LinkResponse& aResponse) override
     {
       mOnCancel = nullptr;
-      if (const auto connection = mConnection.lock(); connection && !mAnswered) {
+      if (const auto connection = mConnection.lock();
+          connection && !mAnswered) {
         mAnswered = true;
         connection->session->SubmitResponse(mStream, aResponse);
       }
     }
 
-    void OnCancel(std::function<void()> aTask) override { mOnCancel = std::move(aTask); }
+    void OnCancel(std::function<void()> aTask) override
+    {
+      mOnCancel = std::move(aTask);
+    }
 
     void Cancel()
     {
@@ -83,52 +87,63 @@
     }
   }
 
-  std::optional<std::uint16_t> Listen(const std::string& aAddress, std::uint16_t aPort)
+  std::optional<std::uint16_t> Listen(const std::string& aAddress,
+                                      std::uint16_t aPort)
   {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(aPort);
     inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr);
-    mListener = evconnlistener_new_bind(mLoop.Base(),
-                                        &Impl::OnAccept,
-                                        this,
-                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
-                                          LEV_OPT_REUSEABLE,
-                                        kBacklog,
-                                        reinterpret_cast<sockaddr*>(&address),
-                                        sizeof(address));
+    mListener = evconnlistener_new_bind(
+      mLoop.Base(),
+      &Impl::OnAccept,
+      this,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      kBacklog,
+      reinterpret_cast<sockaddr*>(&address),
+      sizeof(address));
     if (!mListener) {
       return std::nullopt;
     }
     socklen_t size = sizeof(address);
-    getsockname(evconnlistener_get_fd(mListener), reinterpret_cast<sockaddr*>(&address), &size);
+    getsockname(evconnlistener_get_fd(mListener),
+                reinterpret_cast<sockaddr*>(&address),
+                &size);
     return ntohs(address.sin_port);
   }
 
   void GoAway()
   {
-    for (const auto& [raw, connection] : mConnections) {
+    // A session without streams ends at once and leaves the map.
+    const auto connections = mConnections;
+    for (const auto& [raw, connection] : connections) {
       connection->session->SendGoAway();
     }
   }
 
 private:
-  static void OnAccept(evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf)
+  static void OnAccept(evconnlistener*,
+                       evutil_socket_t aSocket,
+                       sockaddr*,
+                       int,
+                       void* aSelf)
   {
     auto* self = static_cast<Impl*>(aSelf);
     DisableNagle(aSocket);
-    bufferevent* buffer =
-      bufferevent_socket_new(self->mLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent* buffer = bufferevent_socket_new(
+      self->mLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
     auto connection = std::make_shared<Connection>();
     Connection* raw = connection.get();
     LinkSession::Handler handler;
-    handler.onMessage = [self, raw](std::int32_t aStream) { self->OnRequest(*raw, aStream); };
+    handler.onMessage = [self, raw](std::int32_t aStream) {
+      self->OnRequest(*raw, aStream);
+    };
     handler.onStreamClosed = [self, raw](std::int32_t aStream, std::uint32_t) {
       self->CancelStream(*raw, aStream);
     };
     handler.onClosed = [self, raw](const std::string&) { self->Drop(raw); };
-    connection->session =
-      std::make_unique<LinkSession>(LinkSession::Role::kServer, buffer, std::move(handler));
+    connection->session = std::make_unique<LinkSession>(
+      LinkSession::Role::kServer, buffer, std::move(handler));
     self->mConnections.emplace(raw, std::move(connection));
   }
 
--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -19,16 +18,19 @@
 nghttp2_nv
 Field(const std::string& aName, const std::string& aValue)
 {
-  return nghttp2_nv{ reinterpret_cast<std::uint8_t*>(const_cast<char*>(aName.data())),
-                     reinterpret_cast<std::uint8_t*>(const_cast<char*>(aValue.data())),
-                     aName.size(),
-                     aValue.size(),
-                     NGHTTP2_NV_FLAG_NONE };
+  return nghttp2_nv{
+    reinterpret_cast<std::uint8_t*>(const_cast<char*>(aName.data())),
+    reinterpret_cast<std::uint8_t*>(const_cast<char*>(aValue.data())),
+    aName.size(),
+    aValue.size(),
+    NGHTTP2_NV_FLAG_NONE
+  };
 }
 
 /** Pseudo header fields first, then the message's own. */
 std::vector<nghttp2_nv>
-Fields(const std::vector<LinkHeader>& aPseudo, const std::vector<LinkHeader>& aHeaders)
+Fields(const std::vector<LinkHeader>& aPseudo,
+       const std::vector<LinkHeader>& aHeaders)
 {
   std::vector<nghttp2_nv> fields;
   for (const auto* list : { &aPseudo, &aHeaders }) {
@@ -44,9 +46,14 @@
 /** The C callbacks of nghttp2 and libevent. */
 struct LinkSessionCallbacks
 {
-  static LinkSession& Self(void* aSelf) { return *static_cast<LinkSession*>(aSelf); }
+  static LinkSession& Self(void* aSelf)
+  {
+    return *static_cast<LinkSession*>(aSelf);
+  }
 
-  static int OnBeginHeaders(nghttp2_session*, const nghttp2_frame* aFrame, void* aSelf)
+  static int OnBeginHeaders(nghttp2_session*,
+                            const nghttp2_frame* aFrame,
+                            void* aSelf)
   {
     auto& self = Self(aSelf);
     if (self.mRole == LinkSession::Role::kServer) {
@@ -73,7 +80,8 @@
     if (name == ":path") {
       stream->path = std::move(value);
     } else if (name == ":status") {
-      std::from_chars(value.data(), value.data() + value.size(), stream->status);
+      std::from_chars(
+        value.data(), value.data() + value.size(), stream->status);
     } else if (name[0] != ':' && stream->headers.size() < kMaxHeaderCount) {
       stream->headers.push_back({ std::move(name), std::move(value) });
     }
@@ -93,7 +101,8 @@
     }
     if (stream->body.size() + aSize > kMaxLinkBodyBytes) {
       stream->tooLarge = true;
-      nghttp2_submit_rst_stream(aSession, NGHTTP2_FLAG_NONE, aStream, NGHTTP2_CANCEL);
+      nghttp2_submit_rst_stream(
+        aSession, NGHTTP2_FLAG_NONE, aStream, NGHTTP2_CANCEL);
       return 0;
     }
     stream->body.append(reinterpret_cast<const char*>(aData), aSize);
@@ -151,8 +160,9 @@
     if (!stream) {
       return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     }
-    const std::size_t n = std::min(aLength, stream->outgoing.size() - stream->outgoingSent);
-    std::memcpy(aBuffer, stream->outgoing.data() + stream->outgoingSent, n);
+    const std::size_t n =
+      std::min(aLength, stream->outgoing.size() - stream->outgoingSent);
+    std::copy_n(stream->outgoing.data() + stream->outgoingSent, n, aBuffer);
     stream->outgoingSent += n;
     if (stream->outgoingSent == stream->outgoing.size()) {
       *aFlags |= NGHTTP2_DATA_FLAG_EOF;
@@ -170,7 +180,8 @@
     const ssize_t used = nghttp2_session_mem_recv(self.mSession, data, size);
     self.mInsideLibrary = false;
     if (used < 0) {
-      self.Fail(std::string("protocol error: ") + nghttp2_strerror(static_cast<int>(used)));
+      self.Fail(std::string("protocol error: ") +
+                nghttp2_strerror(static_cast<int>(used)));
       return;
     }
     evbuffer_drain(input, static_cast<std::size_t>(used));
@@ -188,7 +199,8 @@
       }
       return;
     }
-    self.Fail((aWhat & BEV_EVENT_EOF) ? "closed by the peer" : "connection error");
+    self.Fail((aWhat & BEV_EVENT_EOF) ? "closed by the peer"
+                                      : "connection error");
   }
 };
 
@@ -200,14 +212,16 @@
 {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
-  nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
-                                                          &LinkSessionCallbacks::OnBeginHeaders);
-  nghttp2_session_callbacks_set_on_header_callback(callbacks, &LinkSessionCallbacks::OnHeader);
-  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
-                                                            &LinkSessionCallbacks::OnData);
-  nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &LinkSessionCallbacks::OnFrame);
-  nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
-                                                         &LinkSessionCallbacks::OnStreamClose);
+  nghttp2_session_callbacks_set_on_begin_headers_callback(
+    callbacks, &LinkSessionCallbacks::OnBeginHeaders);
+  nghttp2_session_callbacks_set_on_header_callback(
+    callbacks, &LinkSessionCallbacks::OnHeader);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+    callbacks, &LinkSessionCallbacks::OnData);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(
+    callbacks, &LinkSessionCallbacks::OnFrame);
+  nghttp2_session_callbacks_set_on_stream_close_callback(
+    callbacks, &LinkSessionCallbacks::OnStreamClose);
   if (aRole == Role::kServer) {
     nghttp2_session_server_new(&mSession, callbacks, this);
   } else {
@@ -219,11 +233,16 @@
     { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams },
     { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kWindowBytes },
   } };
-  nghttp2_submit_settings(mSession, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
-  nghttp2_session_set_local_window_size(mSession, NGHTTP2_FLAG_NONE, 0, kWindowBytes);
+  nghttp2_submit_settings(
+    mSession, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+  nghttp2_session_set_local_window_size(
+    mSession, NGHTTP2_FLAG_NONE, 0, kWindowBytes);
 
-  bufferevent_setcb(
-    mBuffer, &LinkSessionCallbacks::OnReadable, nullptr, &LinkSessionCallbacks::OnEvent, this);
+  bufferevent_setcb(mBuffer,
+                    &LinkSessionCallbacks::OnReadable,
+                    nullptr,
+                    &LinkSessionCallbacks::OnEvent,
+                    this);
   bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
   Flush();
 }
@@ -244,8 +263,8 @@
   const auto fields = Fields(pseudo, aRequest.headers);
   nghttp2_data_provider provider{};
   provider.read_callback = &LinkSessionCallbacks::ReadBody;
-  const std::int32_t stream =
-    nghttp2_submit_request(mSession, nullptr, fields.data(), fields.size(), &provider, nullptr);
+  const std::int32_t stream = nghttp2_submit_request(
+    mSession, nullptr, fields.data(), fields.size(), &provider, nullptr);
   if (stream < 0) {
     return -1;
   }
@@ -261,12 +280,14 @@
   if (!stream || mFailed) {
     return;
   }
-  const std::vector<LinkHeader> pseudo{ { ":status", std::to_string(aResponse.status) } };
+  const std::vector<LinkHeader> pseudo{ { ":status",
+                                          std::to_string(aResponse.status) } };
   const auto fields = Fields(pseudo, aResponse.headers);
   stream->outgoing = aResponse.body;
   nghttp2_data_provider provider{};
   provider.read_callback = &LinkSessionCallbacks::ReadBody;
-  nghttp2_submit_response(mSession, aStream, fields.data(), fields.size(), &provider);
+  nghttp2_submit_response(
+    mSession, aStream, fields.data(), fields.size(), &provider);
   Flush();
 }
 
@@ -288,7 +309,8 @@
 LinkSession::SendGoAway()
 {
   const std::int32_t last = nghttp2_session_get_last_proc_stream_id(mSession);
-  nghttp2_submit_goaway(mSession, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+  nghttp2_submit_goaway(
+    mSession, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
   Flush();
 }
 
@@ -318,7 +340,8 @@
     bufferevent_write(mBuffer, data, static_cast<std::size_t>(size));
   }
   mInsideLibrary = false;
-  if (!nghttp2_session_want_read(mSession) && !nghttp2_session_want_write(mSession)) {
+  if (!nghttp2_session_want_read(mSession) &&
+      !nghttp2_session_want_write(mSession)) {
     Fail("session ended");
   }
 }
--- a/src/nodes/LinkSession.h
+++ b/src/nodes/LinkSession.h
@@ -49,7 +49,8 @@
     /** A whole message arrived. */
     std::function<void(std::int32_t aStream)> onMessage;
     /** A stream ended; the HTTP/2 error code says how. */
-    std::function<void(std::int32_t aStream, std::uint32_t aErrorCode)> onStreamClosed;
+    std::function<void(std::int32_t aStream, std::uint32_t aErrorCode)>
+      onStreamClosed;
     /** The connection is gone; no other callback follows. */
     std::function<void(const std::string& aWhy)> onClosed;
     std::function<void()> onConnected;
@@ -63,7 +64,8 @@
   LinkSession(const LinkSession&) = delete;
   LinkSession& operator=(const LinkSession&) = delete;
 
-  /** Client: opens a stream; returns its id, or -1 when the session takes no more. */
+  /** Client: opens a stream; returns its id, or -1 when the session takes no
+   * more. */
   std::int32_t SubmitRequest(const LinkRequest& aRequest);
 
   /** Server: answers a stream. */
--- a/src/nodes/MemberRecord.cpp
+++ b/src/nodes/MemberRecord.cpp
@@ -9,14 +9,16 @@
 std::string
 ToString(NodeId aNode)
 {
-  return AddressWithPort(aNode, static_cast<std::uint16_t>(static_cast<std::uint64_t>(aNode)));
+  return AddressWithPort(
+    aNode, static_cast<std::uint16_t>(static_cast<std::uint64_t>(aNode)));
 }
 
 std::string
 AddressWithPort(NodeId aNode, std::uint16_t aPort)
 {
   in_addr address{};
-  address.s_addr = htonl(static_cast<std::uint32_t>(static_cast<std::uint64_t>(aNode) >> 16));
+  address.s_addr =
+    htonl(static_cast<std::uint32_t>(static_cast<std::uint64_t>(aNode) >> 16));
   std::array<char, INET_ADDRSTRLEN> buf{};
   inet_ntop(AF_INET, &address, buf.data(), buf.size());
   return std::string(buf.data()) + ":" + std::to_string(aPort);
--- a/src/nodes/Membership.cpp
+++ b/src/nodes/Membership.cpp
@@ -5,7 +5,9 @@
 
 namespace knapweedpaddle::nodes {
 
-Membership::Membership(MembershipOptions aOptions, MemberRecord aSelf, std::uint64_t aSeed)
+Membership::Membership(MembershipOptions aOptions,
+                       MemberRecord aSelf,
+                       std::uint64_t aSeed)
   : mOptions(aOptions)
   , mSelf(std::move(aSelf))
   , mRandom(aSeed)
@@ -47,7 +49,9 @@
   }
   ExpireSuspects(aNow);
   ForgetDead(aNow);
-  std::erase_if(mRelays, [aNow](const auto& it) { return it.second.deadline <= aNow; });
+  std::erase_if(mRelays, [aNow](const auto& aItem) {
+    return aItem.second.deadline <= aNow;
+  });
   StartProbe(aNow, out);
   if (++mPeriods % mOptions.deadProbeEvery == 0) {
     ProbeDead(out);
@@ -71,7 +75,8 @@
 
   switch (aMessage.kind) {
     case GossipKind::kPing:
-      out.push_back({ aMessage.sender, Message(GossipKind::kAck, aMessage.sequence) });
+      out.push_back(
+        { aMessage.sender, Message(GossipKind::kAck, aMessage.sequence) });
       AttachDoubt(out.back());
       break;
     case GossipKind::kPingRequest: {
@@ -86,7 +91,8 @@
     case GossipKind::kAck:
       if (const auto it = mRelays.find(aMessage.sequence);
           it != mRelays.end() && it->second.target == aMessage.sender) {
-        GossipMessage answer = Message(GossipKind::kAck, it->second.originSequence);
+        GossipMessage answer =
+          Message(GossipKind::kAck, it->second.originSequence);
         answer.target = aMessage.sender;
         out.push_back({ it->second.origin, std::move(answer) });
         mRelays.erase(it);
@@ -126,7 +132,8 @@
     return;
   }
   if (IsNewer(record, member.record)) {
-    if (member.liveness == Liveness::kDead && aUpdate.liveness == Liveness::kAlive) {
+    if (member.liveness == Liveness::kDead &&
+        aUpdate.liveness == Liveness::kAlive) {
       mSyncDue = true;
     }
     member = Member{ record, aUpdate.liveness, aNow };
@@ -134,7 +141,8 @@
     Spread(aUpdate);
     return;
   }
-  // About the same record only a worse liveness is news: its node must refute it.
+  // About the same record only a worse liveness is news: its node must refute
+  // it.
   if (!IsNewer(member.record, record) && aUpdate.liveness > member.liveness) {
     ChangeLiveness(member, aUpdate.liveness, aNow);
   }
@@ -269,9 +277,11 @@
 Membership::Remember(NodeId aNode, std::uint64_t aVersion)
 {
   const auto key = static_cast<std::uint64_t>(aNode);
-  if (mRemembered.size() >= mOptions.rememberedLimit && !mRemembered.contains(key)) {
-    std::erase_if(mRemembered,
-                  [this](const auto& it) { return !mMembers.contains(NodeId{ it.first }); });
+  if (mRemembered.size() >= mOptions.rememberedLimit &&
+      !mRemembered.contains(key)) {
+    std::erase_if(mRemembered, [this](const auto& aItem) {
+      return !mMembers.contains(NodeId{ aItem.first });
+    });
   }
   std::uint64_t& version = mRemembered[key];
   version = std::max(version, aVersion);
@@ -298,7 +308,8 @@
 {
   if (const auto it = mMembers.find(aDatagram.to);
       it != mMembers.end() && it->second.liveness != Liveness::kAlive) {
-    aDatagram.message.updates.push_back({ it->second.record, it->second.liveness });
+    aDatagram.message.updates.push_back(
+      { it->second.record, it->second.liveness });
   }
 }
 
@@ -306,7 +317,8 @@
 Membership::AskOthers(std::vector<Datagram>& aOut)
 {
   mProbe->askedOthers = true;
-  for (const NodeId it : RandomMembers(mOptions.indirectProbes, mProbe->target)) {
+  for (const NodeId it :
+       RandomMembers(mOptions.indirectProbes, mProbe->target)) {
     GossipMessage message = Message(GossipKind::kPingRequest, mProbe->sequence);
     message.target = mProbe->target;
     aOut.push_back({ it, std::move(message) });
@@ -333,9 +345,11 @@
 void
 Membership::ExpireSuspects(Timestamp aNow)
 {
-  const auto timeout = mOptions.probePeriod * mOptions.suspicionPeriods * SizeDigits();
+  const auto timeout =
+    mOptions.probePeriod * mOptions.suspicionPeriods * SizeDigits();
   for (auto& [id, member] : mMembers) {
-    if (member.liveness == Liveness::kSuspect && aNow - member.since >= timeout) {
+    if (member.liveness == Liveness::kSuspect &&
+        aNow - member.since >= timeout) {
       ChangeLiveness(member, Liveness::kDead, aNow);
     }
   }
@@ -344,9 +358,9 @@
 void
 Membership::ForgetDead(Timestamp aNow)
 {
-  std::erase_if(mMembers, [&](const auto& it) {
-    const bool old = it.second.liveness == Liveness::kDead &&
-                     aNow - it.second.since >= mOptions.deadKept;
+  std::erase_if(mMembers, [&](const auto& aItem) {
+    const bool old = aItem.second.liveness == Liveness::kDead &&
+                     aNow - aItem.second.since >= mOptions.deadKept;
     mChanges += old ? 1 : 0;
     return old;
   });
@@ -386,8 +400,10 @@
     }
   }
   std::vector<NodeId> chosen;
-  std::ranges::sample(
-    alive, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(aCount), mRandom);
+  std::ranges::sample(alive,
+                      std::back_inserter(chosen),
+                      static_cast<std::ptrdiff_t>(aCount),
+                      mRandom);
   return chosen;
 }
 
--- a/src/nodes/ZoneReaders.cpp
+++ b/src/nodes/ZoneReaders.cpp
@@ -10,13 +10,15 @@
 std::uint64_t
 Score(const std::string& aDuty, NodeId aNode)
 {
-  return XXH3_64bits_withSeed(aDuty.data(), aDuty.size(), static_cast<std::uint64_t>(aNode));
+  return XXH3_64bits_withSeed(
+    aDuty.data(), aDuty.size(), static_cast<std::uint64_t>(aNode));
 }
 
 bool
 CanHoldDuty(const MemberRecord& aRecord)
 {
-  return aRecord.state == MemberState::kWarm || aRecord.state == MemberState::kServing;
+  return aRecord.state == MemberState::kWarm ||
+         aRecord.state == MemberState::kServing;
 }
 
 } // namespace
@@ -38,15 +40,20 @@
   if (self.zone == aZone && CanHoldDuty(self)) {
     nodes.push_back(self.node);
   }
-  std::ranges::sort(nodes, std::ranges::greater{}, [&aDuty](NodeId it) { return Score(aDuty, it); });
+  std::ranges::sort(nodes, std::ranges::greater{}, [&aDuty](NodeId aItem) {
+    return Score(aDuty, aItem);
+  });
   nodes.resize(std::min(nodes.size(), aCount));
   return nodes;
 }
 
 bool
-HoldsDuty(const Membership& aMembership, const std::string& aDuty, std::size_t aCount)
+HoldsDuty(const Membership& aMembership,
+          const std::string& aDuty,
+          std::size_t aCount)
 {
-  const auto nodes = DutyHolders(aMembership, aMembership.Self().zone, aDuty, aCount);
+  const auto nodes =
+    DutyHolders(aMembership, aMembership.Self().zone, aDuty, aCount);
   return std::ranges::find(nodes, aMembership.Self().node) != nodes.end();
 }
 
--- a/src/operators/Acceptor.cpp
+++ b/src/operators/Acceptor.cpp
@@ -15,8 +15,10 @@
 namespace {
 
 constexpr std::uint32_t kMaxAttempts = 8;
-constexpr std::uint64_t kSnapshotEvery = 50; ///< versions between whole snapshots
-constexpr std::uint64_t kChangesKept = 1000; ///< change rows behind the newest snapshot
+constexpr std::uint64_t kSnapshotEvery =
+  50; ///< versions between whole snapshots
+constexpr std::uint64_t kChangesKept =
+  1000; ///< change rows behind the newest snapshot
 
 std::string
 OwnerOf(const Snapshot& aSnapshot, const EntryId& aId)
@@ -41,7 +43,8 @@
   std::string owner;
   Callback callback;
   std::uint32_t attempts = 0;
-  std::uint64_t headRevision = 0; ///< of the head row that the commit depends on
+  std::uint64_t headRevision =
+    0; ///< of the head row that the commit depends on
   Change change;
   bool mayHaveWritten = false; ///< a commit brought no answer
 };
@@ -72,16 +75,20 @@
 {
   if (++aAttempt->attempts > kMaxAttempts) {
     Finish(aAttempt,
-           aAttempt->mayHaveWritten ? AcceptOutcome::kUnknown : AcceptOutcome::kConflict,
+           aAttempt->mayHaveWritten ? AcceptOutcome::kUnknown
+                                    : AcceptOutcome::kConflict,
            "too many other changes were accepted meanwhile");
     return;
   }
   mPlatform.Read(
-    { platform::OperationKey(aAttempt->request.operationId), platform::kHeadKey },
-    [this, aAttempt](const std::optional<std::vector<Row>>& aRows, const PlatformReason& aReason) {
+    { platform::OperationKey(aAttempt->request.operationId),
+      platform::kHeadKey },
+    [this, aAttempt](const std::optional<std::vector<Row>>& aRows,
+                     const PlatformReason& aReason) {
       if (!aRows || aRows->size() != 2) {
         Finish(aAttempt,
-               aAttempt->mayHaveWritten ? AcceptOutcome::kUnknown : AcceptOutcome::kUnavailable,
+               aAttempt->mayHaveWritten ? AcceptOutcome::kUnknown
+                                        : AcceptOutcome::kUnavailable,
                aReason.message);
         return;
       }
@@ -98,8 +105,10 @@
       mReader.CatchUp(version, [this, aAttempt, version](bool aReached) {
         if (!aReached) {
           Finish(aAttempt,
-                 aAttempt->mayHaveWritten ? AcceptOutcome::kUnknown : AcceptOutcome::kUnavailable,
-                 "version " + std::to_string(version) + " can't be read from the platform");
+                 aAttempt->mayHaveWritten ? AcceptOutcome::kUnknown
+                                          : AcceptOutcome::kUnavailable,
+                 "version " + std::to_string(version) +
+                   " can't be read from the platform");
           return;
         }
         Prepare(aAttempt);
@@ -141,25 +150,31 @@
 bool
 Acceptor::CheckEntries(Attempt& aAttempt, const Snapshot& aBase)
 {
-  const auto finish = [&aAttempt](AcceptOutcome aOutcome, std::string aMessage) {
+  const auto finish = [&aAttempt](AcceptOutcome aOutcome,
+                                  std::string aMessage) {
     aAttempt.callback(AcceptResult{ aOutcome, 0, std::move(aMessage) });
     return false;
   };
-  const auto check = [&](const EntryId& aId, std::uint64_t aSeen, const std::string& aNewOwner) {
-    const std::string owner = OwnerOf(aBase, aId);
-    const bool isSystem = aAttempt.owner == kSystemOwner;
-    if (!isSystem && ((!owner.empty() && owner != aAttempt.owner) || aNewOwner != aAttempt.owner)) {
-      return finish(AcceptOutcome::kForbidden,
-                    aId.ToString() + " belongs to owner \"" + (owner.empty() ? aNewOwner : owner) +
-                      "\", not to \"" + aAttempt.owner + "\"");
-    }
-    if (const std::uint64_t revision = RevisionOf(aBase, aId); revision != aSeen) {
-      return finish(AcceptOutcome::kConflict,
-                    aId.ToString() + " is at revision " + std::to_string(revision) +
-                      ", not at revision " + std::to_string(aSeen) + " as the request says");
-    }
-    return true;
-  };
+  const auto check =
+    [&](const EntryId& aId, std::uint64_t aSeen, const std::string& aNewOwner) {
+      const std::string owner = OwnerOf(aBase, aId);
+      const bool isSystem = aAttempt.owner == kSystemOwner;
+      if (!isSystem && ((!owner.empty() && owner != aAttempt.owner) ||
+                        aNewOwner != aAttempt.owner)) {
+        return finish(AcceptOutcome::kForbidden,
+                      aId.ToString() + " belongs to owner \"" +
+                        (owner.empty() ? aNewOwner : owner) + "\", not to \"" +
+                        aAttempt.owner + "\"");
+      }
+      if (const std::uint64_t revision = RevisionOf(aBase, aId);
+          revision != aSeen) {
+        return finish(AcceptOutcome::kConflict,
+                      aId.ToString() + " is at revision " +
+                        std::to_string(revision) + ", not at revision " +
+                        std::to_string(aSeen) + " as the request says");
+      }
+      return true;
+    };
   for (const auto& it : aAttempt.request.upserts) {
     const auto& header = config::HeaderOf(it);
     if (!check(config::IdOf(it), header.revision, header.owner)) {
@@ -168,7 +183,8 @@
   }
   for (const auto& it : aAttempt.request.removals) {
     if (!aBase.Find(it.id)) {
-      return finish(AcceptOutcome::kRefused, it.id.ToString() + " does not exist");
+      return finish(AcceptOutcome::kRefused,
+                    it.id.ToString() + " does not exist");
     }
     if (!check(it.id, it.revision, OwnerOf(aBase, it.id))) {
       return false;
@@ -184,30 +200,35 @@
   const std::string operationKey = platform::OperationKey(change.operationId);
   const std::string version = std::to_string(change.version);
   platform::Transaction transaction;
-  transaction.conditions = { { platform::kHeadKey, aAttempt->headRevision }, { operationKey, 0 } };
-  transaction.writes = { { platform::kHeadKey, version, false },
-                         { platform::ChangeKey(change.version), EncodeChange(change), false },
-                         { operationKey, version, false } };
-  mPlatform.Commit(std::move(transaction), [this, aAttempt](bool aDone,
-                                                            const PlatformReason& aReason) {
-    if (aDone) {
-      OnAccepted(aAttempt);
-      return;
-    }
-    switch (aReason.code) {
-      case PlatformError::kOutcomeUnknown:
-        aAttempt->mayHaveWritten = true;
-        Begin(aAttempt);
-        return;
-      case PlatformError::kConflict:
-        Begin(aAttempt);
-        return;
-      default:
-        Finish(aAttempt,
-               aAttempt->mayHaveWritten ? AcceptOutcome::kUnknown : AcceptOutcome::kUnavailable,
-               aReason.message);
-    }
-  });
+  transaction.conditions = { { platform::kHeadKey, aAttempt->headRevision },
+                             { operationKey, 0 } };
+  transaction.writes = {
+    { platform::kHeadKey, version, false },
+    { platform::ChangeKey(change.version), EncodeChange(change), false },
+    { operationKey, version, false }
+  };
+  mPlatform.Commit(std::move(transaction),
+                   [this, aAttempt](bool aDone, const PlatformReason& aReason) {
+                     if (aDone) {
+                       OnAccepted(aAttempt);
+                       return;
+                     }
+                     switch (aReason.code) {
+                       case PlatformError::kOutcomeUnknown:
+                         aAttempt->mayHaveWritten = true;
+                         Begin(aAttempt);
+                         return;
+                       case PlatformError::kConflict:
+                         Begin(aAttempt);
+                         return;
+                       default:
+                         Finish(aAttempt,
+                                aAttempt->mayHaveWritten
+                                  ? AcceptOutcome::kUnknown
+                                  : AcceptOutcome::kUnavailable,
+                                aReason.message);
+                     }
+                   });
 }
 
 void
@@ -235,19 +256,25 @@
       return;
     }
     platform::Transaction transaction;
-    transaction.writes.push_back({ platform::kSnapshotKey, std::to_string(version), false });
+    transaction.writes.push_back(
+      { platform::kSnapshotKey, std::to_string(version), false });
     if (version > kChangesKept) {
       for (std::uint64_t n = 0; n < kSnapshotEvery; ++n) {
-        transaction.writes.push_back({ platform::ChangeKey(version - kChangesKept - n), "", true });
+        transaction.writes.push_back(
+          { platform::ChangeKey(version - kChangesKept - n), "", true });
       }
     }
-    mPlatform.Commit(std::move(transaction), [](bool, const PlatformReason&) {});
+    mPlatform.Commit(std::move(transaction),
+                     [](bool, const PlatformReason&) {});
   };
-  mPlatform.PutObject(platform::SnapshotObject(version), EncodeSnapshot(*snapshot), onPut);
+  mPlatform.PutObject(
+    platform::SnapshotObject(version), EncodeSnapshot(*snapshot), onPut);
 }
 
 void
-Acceptor::Finish(const AttemptPtr& aAttempt, AcceptOutcome aOutcome, std::string aMessage)
+Acceptor::Finish(const AttemptPtr& aAttempt,
+                 AcceptOutcome aOutcome,
+                 std::string aMessage)
 {
   aAttempt->callback(AcceptResult{ aOutcome, 0, std::move(aMessage) });
 }
--- a/src/operators/OperatorApi.cpp
+++ b/src/operators/OperatorApi.cpp
@@ -35,7 +35,8 @@
 HttpAnswer
 ErrorAnswer(int aStatus, const std::string& aMessage)
 {
-  return Answer(aStatus, Json{ { "outcome", "refused" }, { "message", aMessage } });
+  return Answer(aStatus,
+                Json{ { "outcome", "refused" }, { "message", aMessage } });
 }
 
 Json
@@ -55,7 +56,8 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(Services aServices, std::vector<settings::OperatorToken> aTokens)
+OperatorApi::OperatorApi(Services aServices,
+                         std::vector<settings::OperatorToken> aTokens)
   : mServices(std::move(aServices))
   , mTokens(std::move(aTokens))
 {
@@ -80,36 +82,41 @@
 }
 
 void
-OperatorApi::Handle(CallRequest aRequest, Respond aRespond)
+OperatorApi::Handle(const CallRequest& aRequest, const Respond& aRespond)
 {
   const std::string path = aRequest.path.substr(0, aRequest.path.find('?'));
   bool pathKnown = false;
   for (const auto& it : Endpoints()) {
     const std::string pattern = it.path;
-    const bool matches = pattern.back() == '/'
-                           ? path.starts_with(pattern) && path.size() > pattern.size()
-                           : path == pattern;
+    const bool matches = pattern.back() == '/' ? path.starts_with(pattern) &&
+                                                   path.size() > pattern.size()
+                                               : path == pattern;
     pathKnown |= matches;
     if (matches && aRequest.method == it.method) {
-      const std::string rest = path.substr(std::min(path.size(), pattern.size()));
+      const std::string rest =
+        path.substr(std::min(path.size(), pattern.size()));
       (this->*it.handler)(aRequest, rest, aRespond);
       return;
     }
   }
-  aRespond(pathKnown ? ErrorAnswer(405, "method " + aRequest.method + " is not offered here")
-                     : ErrorAnswer(kNotFound, "path \"" + path + "\" does not exist"));
+  aRespond(
+    pathKnown
+      ? ErrorAnswer(405, "method " + aRequest.method + " is not offered here")
+      : ErrorAnswer(kNotFound, "path \"" + path + "\" does not exist"));
 }
 
 std::optional<std::string>
 OperatorApi::OwnerOf(const CallRequest& aRequest) const
 {
   static const std::string kScheme = "Bearer ";
-  const auto header = std::ranges::find(aRequest.headers, "authorization", &callers::HttpHeader::name);
+  const auto header = std::ranges::find(
+    aRequest.headers, "authorization", &callers::HttpHeader::name);
   if (header == aRequest.headers.end() || !header->value.starts_with(kScheme)) {
     return std::nullopt;
   }
   const std::string token = header->value.substr(kScheme.size());
-  const auto it = std::ranges::find(mTokens, token, &settings::OperatorToken::token);
+  const auto it =
+    std::ranges::find(mTokens, token, &settings::OperatorToken::token);
   if (it == mTokens.end()) {
     return std::nullopt;
   }
@@ -117,11 +124,14 @@
 }
 
 void
-OperatorApi::Apply(const CallRequest& aRequest, const std::string&, const Respond& aRespond)
+OperatorApi::Apply(const CallRequest& aRequest,
+                   const std::string&,
+                   const Respond& aRespond)
 {
   const auto owner = OwnerOf(aRequest);
   if (!owner) {
-    aRespond(ErrorAnswer(kUnauthorized, "the operator's token is missing or not known"));
+    aRespond(ErrorAnswer(kUnauthorized,
+                         "the operator's token is missing or not known"));
     return;
   }
   config::ConfigReason reason;
@@ -142,7 +152,9 @@
 }
 
 void
-OperatorApi::List(const CallRequest&, const std::string&, const Respond& aRespond)
+OperatorApi::List(const CallRequest&,
+                  const std::string&,
+                  const Respond& aRespond)
 {
   HttpAnswer answer;
   answer.body = config::EncodeSnapshot(*mServices.store.Current()) + "\n";
@@ -150,7 +162,9 @@
 }
 
 void
-OperatorApi::Get(const CallRequest&, const std::string& aRest, const Respond& aRespond)
+OperatorApi::Get(const CallRequest&,
+                 const std::string& aRest,
+                 const Respond& aRespond)
 {
   const auto id = config::EntryId::Parse(aRest);
   const auto* entry = id ? mServices.store.Current()->Find(*id) : nullptr;
@@ -164,10 +178,13 @@
 }
 
 void
-OperatorApi::History(const CallRequest&, const std::string&, const Respond& aRespond)
+OperatorApi::History(const CallRequest&,
+                     const std::string&,
+                     const Respond& aRespond)
 {
   const std::uint64_t version = mServices.store.Version();
-  const std::uint64_t first = version > kHistoryLimit ? version - kHistoryLimit + 1 : 1;
+  const std::uint64_t first =
+    version > kHistoryLimit ? version - kHistoryLimit + 1 : 1;
   mServices.platform.ReadRange(
     platform::kChangePrefix,
     platform::ChangeKey(first),
@@ -187,14 +204,17 @@
 }
 
 void
-OperatorApi::Status(const CallRequest&, const std::string&, const Respond& aRespond)
+OperatorApi::Status(const CallRequest&,
+                    const std::string&,
+                    const Respond& aRespond)
 {
   const nodes::Membership& members = mServices.members;
   Json list = Json::array();
-  list.push_back(
-    MemberJson(members.Self(), nodes::Liveness::kAlive, mServices.store.Version()));
+  list.push_back(MemberJson(
+    members.Self(), nodes::Liveness::kAlive, mServices.store.Version()));
   for (const auto& [id, member] : members.Members()) {
-    list.push_back(MemberJson(member.record, member.liveness, members.RememberedVersion(id)));
+    list.push_back(MemberJson(
+      member.record, member.liveness, members.RememberedVersion(id)));
   }
   aRespond(Answer(kOk,
                   Json{ { "version", mServices.store.Version() },
@@ -204,13 +224,16 @@
 }
 
 void
-OperatorApi::ExplainCall(const CallRequest&, const std::string& aRest, const Respond& aRespond)
+OperatorApi::ExplainCall(const CallRequest&,
+                         const std::string& aRest,
+                         const Respond& aRespond)
 {
   const auto record = mServices.journal.Find(aRest);
   if (!record) {
-    aRespond(ErrorAnswer(kNotFound,
-                         "call \"" + aRest +
-                           "\" is not among the latest calls without an answer at this node"));
+    aRespond(ErrorAnswer(
+      kNotFound,
+      "call \"" + aRest +
+        "\" is not among the latest calls without an answer at this node"));
     return;
   }
   aRespond(Answer(kOk,
@@ -221,7 +244,9 @@
 }
 
 void
-OperatorApi::ExplainMove(const CallRequest&, const std::string& aRest, const Respond& aRespond)
+OperatorApi::ExplainMove(const CallRequest&,
+                         const std::string& aRest,
+                         const Respond& aRespond)
 {
   const std::string text = mServices.explainMove(aRest);
   if (text.empty()) {
@@ -234,7 +259,9 @@
 }
 
 void
-OperatorApi::ShowMetrics(const CallRequest&, const std::string&, const Respond& aRespond)
+OperatorApi::ShowMetrics(const CallRequest&,
+                         const std::string&,
+                         const Respond& aRespond)
 {
   HttpAnswer answer;
   answer.contentType = "text/plain; version=0.0.4";
@@ -243,14 +270,19 @@
 }
 
 void
-OperatorApi::Ready(const CallRequest&, const std::string&, const Respond& aRespond)
+OperatorApi::Ready(const CallRequest&,
+                   const std::string&,
+                   const Respond& aRespond)
 {
   const bool serving = mServices.isServing();
-  aRespond(Answer(serving ? kOk : kUnavailable, Json{ { "serving", serving } }));
+  aRespond(
+    Answer(serving ? kOk : kUnavailable, Json{ { "serving", serving } }));
 }
 
 void
-OperatorApi::Announce(const CallRequest& aRequest, const std::string&, const Respond& aRespond)
+OperatorApi::Announce(const CallRequest& aRequest,
+                      const std::string&,
+                      const Respond& aRespond)
 {
   std::string reason;
   if (!mServices.announce(aRequest.body, reason)) {
--- a/src/platform/CatalogueReader.cpp
+++ b/src/platform/CatalogueReader.cpp
@@ -24,15 +24,16 @@
 void
 CatalogueReader::ReadHead(HeadCallback aCallback)
 {
-  mPlatform.Read({ kHeadKey },
-                 [callback = std::move(aCallback)](const std::optional<std::vector<Row>>& aRows,
-                                                   const PlatformReason&) {
-                   if (!aRows || aRows->empty()) {
-                     callback(std::nullopt);
-                     return;
-                   }
-                   callback(VersionOf(aRows->front()));
-                 });
+  mPlatform.Read(
+    { kHeadKey },
+    [callback = std::move(aCallback)](
+      const std::optional<std::vector<Row>>& aRows, const PlatformReason&) {
+      if (!aRows || aRows->empty()) {
+        callback(std::nullopt);
+        return;
+      }
+      callback(VersionOf(aRows->front()));
+    });
 }
 
 void
@@ -43,7 +44,7 @@
     return;
   }
   if (aVersion - mStore.Version() > kMaxChangesBehind) {
-    FetchSnapshot(aVersion, std::move(aCallback));
+    FetchSnapshot(aVersion, aCallback);
     return;
   }
   FetchChanges(aVersion, std::move(aCallback));
@@ -56,8 +57,8 @@
     kChangePrefix,
     ChangeKey(mStore.Version() + 1),
     kMaxChangesBehind,
-    [this, aVersion, callback = std::move(aCallback)](const std::optional<std::vector<Row>>& aRows,
-                                                      const PlatformReason&) {
+    [this, aVersion, callback = std::move(aCallback)](
+      const std::optional<std::vector<Row>>& aRows, const PlatformReason&) {
       if (!aRows) {
         callback(false);
         return;
@@ -81,29 +82,32 @@
 }
 
 void
-CatalogueReader::FetchSnapshot(std::uint64_t aVersion, DoneCallback aCallback)
+CatalogueReader::FetchSnapshot(std::uint64_t aVersion,
+                               const DoneCallback& aCallback)
 {
-  const auto onBody = [this, aVersion, aCallback](const std::optional<std::string>& aBody,
-                                                  const PlatformReason&) {
-    if (aBody && Replace(*aBody)) {
-      mChanged();
-    }
-    FetchChanges(aVersion, aCallback);
-  };
-  mPlatform.Read({ kSnapshotKey },
-                 [this, aVersion, aCallback, onBody](const std::optional<std::vector<Row>>& aRows,
-                                                     const PlatformReason&) {
-                   if (!aRows || aRows->empty()) {
-                     aCallback(false);
-                     return;
-                   }
-                   const auto version = VersionOf(aRows->front()).value_or(0);
-                   if (version <= mStore.Version()) {
-                     FetchChanges(aVersion, aCallback);
-                     return;
-                   }
-                   mPlatform.GetObject(SnapshotObject(version), onBody);
-                 });
+  const auto onBody =
+    [this, aVersion, aCallback](const std::optional<std::string>& aBody,
+                                const PlatformReason&) {
+      if (aBody && Replace(*aBody)) {
+        mChanged();
+      }
+      FetchChanges(aVersion, aCallback);
+    };
+  mPlatform.Read(
+    { kSnapshotKey },
+    [this, aVersion, aCallback, onBody](
+      const std::optional<std::vector<Row>>& aRows, const PlatformReason&) {
+      if (!aRows || aRows->empty()) {
+        aCallback(false);
+        return;
+      }
+      const auto version = VersionOf(aRows->front()).value_or(0);
+      if (version <= mStore.Version()) {
+        FetchChanges(aVersion, aCallback);
+        return;
+      }
+      mPlatform.GetObject(SnapshotObject(version), onBody);
+    });
 }
 
 bool
--- a/src/platform/CatalogueRows.cpp
+++ b/src/platform/CatalogueRows.cpp
@@ -11,8 +11,11 @@
 ChangeKey(std::uint64_t aVersion)
 {
   std::array<char, 32> buf{};
-  std::snprintf(
-    buf.data(), buf.size(), "%s%012llu", kChangePrefix, static_cast<unsigned long long>(aVersion));
+  std::snprintf(buf.data(),
+                buf.size(),
+                "%s%012llu",
+                kChangePrefix,
+                static_cast<unsigned long long>(aVersion));
   return buf.data();
 }
 
@@ -25,7 +28,8 @@
 std::string
 ClaimKey(const std::string& aIdempotencyKey)
 {
-  const XXH128_hash_t hash = XXH3_128bits(aIdempotencyKey.data(), aIdempotencyKey.size());
+  const XXH128_hash_t hash =
+    XXH3_128bits(aIdempotencyKey.data(), aIdempotencyKey.size());
   std::array<char, 48> buf{};
   std::snprintf(buf.data(),
                 buf.size(),
--- a/src/platform/ClaimBatcher.cpp
+++ b/src/platform/ClaimBatcher.cpp
@@ -16,14 +16,18 @@
 
 } // namespace
 
-ClaimBatcher::ClaimBatcher(PlatformClient& aPlatform, std::uint32_t aWritesPerSecond)
+ClaimBatcher::ClaimBatcher(PlatformClient& aPlatform,
+                           std::uint32_t aWritesPerSecond)
   : mPlatform(aPlatform)
-  , mInterval(kMillisecondsPerSecond / std::max<std::int64_t>(aWritesPerSecond, 1))
+  , mInterval(kMillisecondsPerSecond /
+              std::max<std::int64_t>(aWritesPerSecond, 1))
 {
 }
 
 void
-ClaimBatcher::Claim(const std::string& aKey, const std::string& aCallId, Callback aCallback)
+ClaimBatcher::Claim(const std::string& aKey,
+                    const std::string& aCallId,
+                    Callback aCallback)
 {
   Pending pending{ ClaimKey(aKey), aCallId, std::move(aCallback) };
   if (mWaiting.size() >= kMaxWaiting) {
@@ -66,8 +70,8 @@
     transaction.writes.push_back({ it.rowKey, it.callId, false });
   }
   mPlatform.Commit(std::move(transaction),
-                   [this, batch = std::move(aBatch)](bool aDone,
-                                                     const PlatformReason& aReason) mutable {
+                   [this, batch = std::move(aBatch)](
+                     bool aDone, const PlatformReason& aReason) mutable {
                      if (aDone) {
                        for (auto& it : batch) {
                          Answer(it, ClaimOutcome::kGranted);
@@ -118,24 +122,26 @@
   for (const auto& it : aBatch) {
     keys.push_back(it.rowKey);
   }
-  mPlatform.Read(keys,
-                 [this, batch = std::move(aBatch)](const std::optional<std::vector<Row>>& aRows,
-                                                   const PlatformReason&) mutable {
-                   for (auto& it : batch) {
-                     // An absent row may still be written late, so only a row
-                     // that holds this call's id grants the claim.
-                     ClaimOutcome outcome = ClaimOutcome::kUnavailable;
-                     if (aRows) {
-                       const auto row = std::ranges::find(*aRows, it.rowKey, &Row::key);
-                       if (row != aRows->end() && row->revision != 0) {
-                         outcome =
-                           row->value == it.callId ? ClaimOutcome::kGranted : ClaimOutcome::kTaken;
-                       }
-                     }
-                     Answer(it, outcome);
-                   }
-                   mBusy = false;
-                 });
+  mPlatform.Read(
+    keys,
+    [this,
+     batch = std::move(aBatch)](const std::optional<std::vector<Row>>& aRows,
+                                const PlatformReason&) mutable {
+      for (auto& it : batch) {
+        // An absent row may still be written late, so only a row
+        // that holds this call's id grants the claim.
+        ClaimOutcome outcome = ClaimOutcome::kUnavailable;
+        if (aRows) {
+          const auto row = std::ranges::find(*aRows, it.rowKey, &Row::key);
+          if (row != aRows->end() && row->revision != 0) {
+            outcome = row->value == it.callId ? ClaimOutcome::kGranted
+                                              : ClaimOutcome::kTaken;
+          }
+        }
+        Answer(it, outcome);
+      }
+      mBusy = false;
+    });
 }
 
 void
--- a/src/platform/HttpPlatformClient.cpp
+++ b/src/platform/HttpPlatformClient.cpp
@@ -22,8 +22,9 @@
 FromHttp(const HttpReason& aReason)
 {
   PlatformReason reason;
-  const auto code =
-    aReason.code == HttpError::kNotSent ? PlatformError::kNotSent : PlatformError::kOutcomeUnknown;
+  const auto code = aReason.code == HttpError::kNotSent
+                      ? PlatformError::kNotSent
+                      : PlatformError::kOutcomeUnknown;
   reason.Set(code, "platform: " + aReason.message);
   return reason;
 }
@@ -33,17 +34,21 @@
 {
   PlatformReason reason;
   if (aResponse.status == kStatusConflict) {
-    reason.Set(PlatformError::kConflict, "platform: a condition of the transaction failed");
+    reason.Set(PlatformError::kConflict,
+               "platform: a condition of the transaction failed");
     const Json json = Json::parse(aResponse.body, nullptr, false);
-    if (json.is_object() && json.contains("failed") && json["failed"].is_array()) {
+    if (json.is_object() && json.contains("failed") &&
+        json["failed"].is_array()) {
       for (const auto& it : json["failed"]) {
-        reason.conflictingKeys.push_back(it.is_string() ? it.get<std::string>() : "");
+        reason.conflictingKeys.push_back(it.is_string() ? it.get<std::string>()
+                                                        : "");
       }
     }
     return reason;
   }
-  const auto code =
-    aResponse.status == kStatusNotFound ? PlatformError::kNotFound : PlatformError::kRefused;
+  const auto code = aResponse.status == kStatusNotFound
+                      ? PlatformError::kNotFound
+                      : PlatformError::kRefused;
   reason.Set(code, "platform: status " + std::to_string(aResponse.status));
   return reason;
 }
@@ -98,7 +103,7 @@
 
 void
 HttpPlatformClient::Send(std::string aMethod,
-                         std::string aPath,
+                         const std::string& aPath,
                          std::string aBody,
                          AnswerCallback aCallback)
 {
@@ -108,27 +113,31 @@
   request.body = std::move(aBody);
   request.timeout = mTimeout;
   const std::size_t sent = request.body.size() + kHeaderEstimateBytes;
-  mClient.Send(std::move(request),
-               [this, sent, callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
-                                                             const HttpReason& aReason) {
-                 mCounter(sent, aResponse ? aResponse->body.size() + kHeaderEstimateBytes : 0);
-                 if (!aResponse) {
-                   callback(std::nullopt, FromHttp(aReason));
-                   return;
-                 }
-                 if (aResponse->status != kStatusOk) {
-                   callback(std::nullopt, FromStatus(*aResponse));
-                   return;
-                 }
-                 callback(std::move(aResponse), PlatformReason{});
-               });
+  mClient.Send(
+    std::move(request),
+    [this, sent, callback = std::move(aCallback)](
+      std::optional<HttpResponse> aResponse, const HttpReason& aReason) {
+      mCounter(sent,
+               aResponse ? aResponse->body.size() + kHeaderEstimateBytes : 0);
+      if (!aResponse) {
+        callback(std::nullopt, FromHttp(aReason));
+        return;
+      }
+      if (aResponse->status != kStatusOk) {
+        callback(std::nullopt, FromStatus(*aResponse));
+        return;
+      }
+      callback(std::move(aResponse), PlatformReason{});
+    });
 }
 
 void
-HttpPlatformClient::SendForRows(std::string aPath, std::string aBody, RowsCallback aCallback)
+HttpPlatformClient::SendForRows(const std::string& aPath,
+                                std::string aBody,
+                                RowsCallback aCallback)
 {
   Send("POST",
-       std::move(aPath),
+       aPath,
        std::move(aBody),
        [callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
                                          const PlatformReason& aReason) {
@@ -139,7 +148,8 @@
          PlatformReason reason;
          auto rows = RowsFrom(aResponse->body);
          if (!rows) {
-           reason.Set(PlatformError::kRefused, "platform: the answer is not a list of rows");
+           reason.Set(PlatformError::kRefused,
+                      "platform: the answer is not a list of rows");
          }
          callback(std::move(rows), reason);
        });
@@ -148,7 +158,8 @@
 void
 HttpPlatformClient::Read(std::vector<std::string> aKeys, RowsCallback aCallback)
 {
-  SendForRows("/v1/table/read", Json{ { "keys", aKeys } }.dump(), std::move(aCallback));
+  SendForRows(
+    "/v1/table/read", Json{ { "keys", aKeys } }.dump(), std::move(aCallback));
 }
 
 void
@@ -157,9 +168,11 @@
                               std::size_t aLimit,
                               RowsCallback aCallback)
 {
-  SendForRows("/v1/table/range",
-              Json{ { "prefix", aPrefix }, { "first", aFirst }, { "limit", aLimit } }.dump(),
-              std::move(aCallback));
+  SendForRows(
+    "/v1/table/range",
+    Json{ { "prefix", aPrefix }, { "first", aFirst }, { "limit", aLimit } }
+      .dump(),
+    std::move(aCallback));
 }
 
 void
@@ -168,20 +181,24 @@
   Send("POST",
        "/v1/table/commit",
        ToJson(aTransaction).dump(),
-       [callback = std::move(aCallback)](const std::optional<HttpResponse>& aResponse,
-                                         const PlatformReason& aReason) {
+       [callback =
+          std::move(aCallback)](const std::optional<HttpResponse>& aResponse,
+                                const PlatformReason& aReason) {
          callback(aResponse.has_value(), aReason);
        });
 }
 
 void
-HttpPlatformClient::PutObject(std::string aName, std::string aBody, DoneCallback aCallback)
+HttpPlatformClient::PutObject(std::string aName,
+                              std::string aBody,
+                              DoneCallback aCallback)
 {
   Send("PUT",
        "/v1/objects/" + aName,
        std::move(aBody),
-       [callback = std::move(aCallback)](const std::optional<HttpResponse>& aResponse,
-                                         const PlatformReason& aReason) {
+       [callback =
+          std::move(aCallback)](const std::optional<HttpResponse>& aResponse,
+                                const PlatformReason& aReason) {
          callback(aResponse.has_value(), aReason);
        });
 }
--- a/src/routing/Picker.cpp
+++ b/src/routing/Picker.cpp
@@ -20,15 +20,17 @@
   Candidates all;
   for (const auto& target : it->second) {
     if (target.version == aQuery.version &&
-        std::ranges::find(aQuery.excluding, target.node) == aQuery.excluding.end()) {
+        std::ranges::find(aQuery.excluding, target.node) ==
+          aQuery.excluding.end()) {
       all.push_back(&target);
     }
   }
   const Candidates usable = WithoutEjected(all, aNow);
   Candidates local;
-  std::ranges::copy_if(usable, std::back_inserter(local), [&aQuery](const Target* aTarget) {
-    return aTarget->zone == aQuery.zone;
-  });
+  std::ranges::copy_if(
+    usable, std::back_inserter(local), [&aQuery](const Target* aTarget) {
+      return aTarget->zone == aQuery.zone;
+    });
   if (!local.empty() && !IsZoneBusy(local, aNow)) {
     return BetterOfTwo(local, aNow);
   }
@@ -57,13 +59,17 @@
     return;
   }
   state.failures = 0;
-  const auto doubled = mOptions.ejectionBase * (1LL << std::min(state.ejections, 10U));
-  state.ejectedUntil = aNow + std::min<Milliseconds>(doubled, mOptions.ejectionMost);
+  const auto doubled =
+    mOptions.ejectionBase * (1LL << std::min(state.ejections, 10U));
+  state.ejectedUntil =
+    aNow + std::min<Milliseconds>(doubled, mOptions.ejectionMost);
   ++state.ejections;
 }
 
 void
-Picker::ReportLoad(nodes::NodeId aNode, std::uint32_t aBusySlots, Timestamp aNow)
+Picker::ReportLoad(nodes::NodeId aNode,
+                   std::uint32_t aBusySlots,
+                   Timestamp aNow)
 {
   State& state = mStates[static_cast<std::uint64_t>(aNode)];
   state.reportedBusy = aBusySlots;
@@ -102,11 +108,14 @@
 Picker::WithoutEjected(const Candidates& aAll, Timestamp aNow) const
 {
   Candidates usable;
-  std::ranges::copy_if(aAll, std::back_inserter(usable), [&](const Target* aTarget) {
-    return IsUsable(*aTarget, aNow);
-  });
+  std::ranges::copy_if(
+    aAll, std::back_inserter(usable), [&](const Target* aTarget) {
+      return IsUsable(*aTarget, aNow);
+    });
   const auto ejected = static_cast<double>(aAll.size() - usable.size());
-  return ejected > mOptions.panicShare * static_cast<double>(aAll.size()) ? aAll : usable;
+  return ejected > mOptions.panicShare * static_cast<double>(aAll.size())
+           ? aAll
+           : usable;
 }
 
 bool
@@ -127,7 +136,8 @@
   }
   const Target* first = aCandidates[mRandom() % aCandidates.size()];
   const Target* second = aCandidates[mRandom() % aCandidates.size()];
-  return Utilisation(*second, aNow) < Utilisation(*first, aNow) ? second : first;
+  return Utilisation(*second, aNow) < Utilisation(*first, aNow) ? second
+                                                                : first;
 }
 
 } // namespace knapweedpaddle::routing
--- a/src/routing/RetryPolicy.cpp
+++ b/src/routing/RetryPolicy.cpp
@@ -25,7 +25,8 @@
 std::optional<RetryRefusal>
 RetryPolicy::Refuse(const FailedTry& aTry, Timestamp aNow)
 {
-  if (aTry.callClass == config::CallClass::kAtMostOnce && aTry.outcome != TryOutcome::kNotRun) {
+  if (aTry.callClass == config::CallClass::kAtMostOnce &&
+      aTry.outcome != TryOutcome::kNotRun) {
     return RetryRefusal::kMayHaveRun;
   }
   if (aNow + kLeastTimeLeft >= aTry.deadline) {
--- a/src/runtime/EventLoop.cpp
+++ b/src/runtime/EventLoop.cpp
@@ -14,7 +14,8 @@
 ToTimeval(Milliseconds aDelay)
 {
   const auto n = std::max<std::int64_t>(aDelay.count(), 0);
-  return timeval{ static_cast<time_t>(n / 1000), static_cast<suseconds_t>((n % 1000) * 1000) };
+  return timeval{ static_cast<time_t>(n / 1000),
+                  static_cast<suseconds_t>((n % 1000) * 1000) };
 }
 
 struct EventDeleter
@@ -84,9 +85,11 @@
   TimerId AddTimer(Milliseconds aDelay, bool aRepeats, Task aTask)
   {
     const TimerId id = ++mLastTimer;
-    auto timer = std::make_unique<Timer>(Timer{ this, id, aRepeats, std::move(aTask), nullptr });
+    auto timer = std::make_unique<Timer>(
+      Timer{ this, id, aRepeats, std::move(aTask), nullptr });
     const short flags = aRepeats ? EV_PERSIST : 0;
-    timer->event.reset(event_new(mBase, -1, flags, &Impl::OnTimer, timer.get()));
+    timer->event.reset(
+      event_new(mBase, -1, flags, &Impl::OnTimer, timer.get()));
     const timeval delay = ToTimeval(aDelay);
     event_add(timer->event.get(), &delay);
     mTimers.emplace(id, std::move(timer));
@@ -99,8 +102,11 @@
   {
     auto watch = std::make_unique<struct Watch>();
     watch->task = std::move(aTask);
-    watch->event.reset(
-      event_new(mBase, aDescriptor, EV_READ | EV_PERSIST, &Impl::OnReadable, watch.get()));
+    watch->event.reset(event_new(mBase,
+                                 aDescriptor,
+                                 EV_READ | EV_PERSIST,
+                                 &Impl::OnReadable,
+                                 watch.get()));
     event_add(watch->event.get(), nullptr);
     mWatches.push_back(std::move(watch));
   }
