--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -23,7 +23,9 @@
 std::string
 LowerCase(std::string aText)
 {
-  std::ranges::transform(aText, aText.begin(), [](unsigned char c) { return std::tolower(c); });
+  std::ranges::transform(aText, aText.begin(), [](unsigned char aLetter) {
+    return std::tolower(aLetter);
+  });
   return aText;
 }
 
@@ -135,7 +137,8 @@
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, std::max<long>(request.timeout.count(), 1));
+    curl_easy_setopt(
+      handle, CURLOPT_TIMEOUT_MS, std::max<long>(request.timeout.count(), 1));
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &Impl::OnBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &aTransfer);
@@ -149,10 +152,12 @@
     } else {
       curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     }
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+    if (!request.body.empty() || request.method == "POST" ||
+        request.method == "PUT") {
       curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
-      curl_easy_setopt(
-        handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+      curl_easy_setopt(handle,
+                       CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request.body.size()));
     }
     AddHeaders(aTransfer);
   }
@@ -163,7 +168,8 @@
     aTransfer.headers = curl_slist_append(nullptr, "Connection: Keep-Alive");
     aTransfer.headers = curl_slist_append(aTransfer.headers, "Expect:");
     for (const auto& it : aTransfer.request.headers) {
-      const std::string line = it.value.empty() ? it.name + ";" : it.name + ": " + it.value;
+      const std::string line =
+        it.value.empty() ? it.name + ";" : it.name + ": " + it.value;
       aTransfer.headers = curl_slist_append(aTransfer.headers, line.c_str());
     }
     curl_easy_setopt(aTransfer.handle, CURLOPT_HTTPHEADER, aTransfer.headers);
@@ -211,7 +217,11 @@
     TakeFinished();
   }
 
-  static int OnSocket(CURL*, curl_socket_t aSocket, int aWhat, void* aSelf, void* aData)
+  static int OnSocket(CURL*,
+                      curl_socket_t aSocket,
+                      int aWhat,
+                      void* aSelf,
+                      void* aData)
   {
     auto* self = static_cast<Impl*>(aSelf);
     auto* watched = static_cast<SocketEvent*>(aData);
@@ -231,16 +241,19 @@
     }
     const int flags = EV_PERSIST | ((aWhat & CURL_POLL_IN) ? EV_READ : 0) |
                       ((aWhat & CURL_POLL_OUT) ? EV_WRITE : 0);
-    watched->handle = event_new(
-      self->mLoop.Base(), aSocket, static_cast<short>(flags), &Impl::OnSocketReady, self);
+    watched->handle = event_new(self->mLoop.Base(),
+                                aSocket,
+                                static_cast<short>(flags),
+                                &Impl::OnSocketReady,
+                                self);
     event_add(watched->handle, nullptr);
     return 0;
   }
 
   static void OnSocketReady(evutil_socket_t aSocket, short aWhat, void* aSelf)
   {
-    const int flags =
-      ((aWhat & EV_READ) ? CURL_CSELECT_IN : 0) | ((aWhat & EV_WRITE) ? CURL_CSELECT_OUT : 0);
+    const int flags = ((aWhat & EV_READ) ? CURL_CSELECT_IN : 0) |
+                      ((aWhat & EV_WRITE) ? CURL_CSELECT_OUT : 0);
     static_cast<Impl*>(aSelf)->Act(aSocket, flags);
   }
 
@@ -261,7 +274,10 @@
     static_cast<Impl*>(aSelf)->Act(CURL_SOCKET_TIMEOUT, 0);
   }
 
-  static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+  static std::size_t OnBody(char* aData,
+                            std::size_t aSize,
+                            std::size_t aCount,
+                            void* aTransfer)
   {
     auto* transfer = static_cast<Transfer*>(aTransfer);
     if (transfer->response.body.size() + aSize * aCount > kMaxBodyBytes) {
@@ -271,7 +287,10 @@
     return aSize * aCount;
   }
 
-  static std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+  static std::size_t OnHeader(char* aData,
+                              std::size_t aSize,
+                              std::size_t aCount,
+                              void* aTransfer)
   {
     auto* transfer = static_cast<Transfer*>(aTransfer);
     const std::string line(aData, aSize * aCount);
@@ -279,10 +298,12 @@
       const auto first = line.find_first_not_of(" \t", colon + 1);
       const auto last = line.find_last_not_of(" \t\r\n");
       std::string value;
-      if (first != std::string::npos && last != std::string::npos && last >= first) {
+      if (first != std::string::npos && last != std::string::npos &&
+          last >= first) {
         value = line.substr(first, last - first + 1);
       }
-      transfer->response.headers.push_back({ LowerCase(line.substr(0, colon)), value });
+      transfer->response.headers.push_back(
+        { LowerCase(line.substr(0, colon)), value });
     }
     return aSize * aCount;
   }
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -12,10 +12,11 @@
 #include <cstdlib>
 #include <set>
 
-#define KNAPWEED_TEXT_FLAG(aName, aDefault, aUnit, aRange, aHelp)                                  \
+#define KNAPWEED_TEXT_FLAG(aName, aDefault, aUnit, aRange, aHelp)              \
   ABSL_FLAG(std::string, aName, aDefault, aHelp " (" aUnit ")");
-#define KNAPWEED_NUMBER_FLAG(aName, aType, aDefault, aMin, aMax, aUnit, aHelp)                     \
-  ABSL_FLAG(aType, aName, aDefault, aHelp " (" aUnit ", " #aMin " to " #aMax ")");
+#define KNAPWEED_NUMBER_FLAG(aName, aType, aDefault, aMin, aMax, aUnit, aHelp) \
+  ABSL_FLAG(                                                                   \
+    aType, aName, aDefault, aHelp " (" aUnit ", " #aMin " to " #aMax ")");
 KNAPWEED_SETTING_LIST(KNAPWEED_TEXT_FLAG, KNAPWEED_NUMBER_FLAG)
 
 namespace knapweedpaddle::settings {
@@ -42,8 +43,8 @@
 {
   const std::vector<std::string> parts = absl::StrSplit(aText, ':');
   std::uint32_t port = 0;
-  return parts.size() == 2 && IsAddress(parts[0]) && absl::SimpleAtoi(parts[1], &port) &&
-         port >= 1 && port <= 65535;
+  return parts.size() == 2 && IsAddress(parts[0]) &&
+         absl::SimpleAtoi(parts[1], &port) && port >= 1 && port <= 65535;
 }
 
 std::vector<std::string>
@@ -61,12 +62,21 @@
   {
   }
 
-  void Require(bool aHolds, absl::string_view aName, absl::string_view aValue, absl::string_view aRange)
+  void Require(bool aHolds,
+               absl::string_view aName,
+               absl::string_view aValue,
+               absl::string_view aRange)
   {
     if (!aHolds && mReason.empty()) {
-      mReason = absl::StrCat(
-        "setting ", aName, " is \"", aValue, "\"; it must be ", aRange, " (or set ",
-        EnvironmentName(aName), ")");
+      mReason = absl::StrCat("setting ",
+                             aName,
+                             " is \"",
+                             aValue,
+                             "\"; it must be ",
+                             aRange,
+                             " (or set ",
+                             EnvironmentName(aName),
+                             ")");
     }
   }
 
@@ -78,11 +88,13 @@
 CheckRanges(Checker& aChecker)
 {
 #define KNAPWEED_NO_CHECK(aName, aDefault, aUnit, aRange, aHelp)
-#define KNAPWEED_CHECK_RANGE(aName, aType, aDefault, aMin, aMax, aUnit, aHelp)                     \
-  {                                                                                                \
-    const auto value = static_cast<double>(absl::GetFlag(FLAGS_##aName));                          \
-    aChecker.Require(                                                                              \
-      value >= (aMin) && value <= (aMax), #aName, absl::StrCat(value), #aMin " to " #aMax);        \
+#define KNAPWEED_CHECK_RANGE(aName, aType, aDefault, aMin, aMax, aUnit, aHelp) \
+  {                                                                            \
+    const auto value = static_cast<double>(absl::GetFlag(FLAGS_##aName));      \
+    aChecker.Require(value >= (aMin) && value <= (aMax),                       \
+                     #aName,                                                   \
+                     absl::StrCat(value),                                      \
+                     #aMin " to " #aMax);                                      \
   }
   KNAPWEED_SETTING_LIST(KNAPWEED_NO_CHECK, KNAPWEED_CHECK_RANGE)
 #undef KNAPWEED_NO_CHECK
@@ -95,19 +107,30 @@
   const auto isName = [](const std::string& aText) {
     return !aText.empty() && aText.size() <= kMaxNameLength;
   };
-  aChecker.Require(IsAddress(aSettings.address), "address", aSettings.address, "an IPv4 address");
-  aChecker.Require(isName(aSettings.zone), "zone", aSettings.zone, "1 to 64 characters");
-  aChecker.Require(isName(aSettings.mesh), "mesh", aSettings.mesh, "1 to 64 characters");
+  aChecker.Require(IsAddress(aSettings.address),
+                   "address",
+                   aSettings.address,
+                   "an IPv4 address");
   aChecker.Require(
-    IsAddressWithPort(aSettings.platform), "platform", aSettings.platform, "IP:port");
+    isName(aSettings.zone), "zone", aSettings.zone, "1 to 64 characters");
+  aChecker.Require(
+    isName(aSettings.mesh), "mesh", aSettings.mesh, "1 to 64 characters");
+  aChecker.Require(IsAddressWithPort(aSettings.platform),
+                   "platform",
+                   aSettings.platform,
+                   "IP:port");
   for (const auto& it : aSettings.seeds) {
-    aChecker.Require(IsAddressWithPort(it), "seeds", it, "a comma separated list of IP:port");
+    aChecker.Require(
+      IsAddressWithPort(it), "seeds", it, "a comma separated list of IP:port");
   }
-  aChecker.Require(aSettings.traceCollector.empty() || IsAddressWithPort(aSettings.traceCollector),
+  aChecker.Require(aSettings.traceCollector.empty() ||
+                     IsAddressWithPort(aSettings.traceCollector),
                    "trace_collector",
                    aSettings.traceCollector,
                    "IP:port or empty");
-  static const std::set<std::string> kLevels{ "debug", "info", "warning", "error" };
+  static const std::set<std::string> kLevels{
+    "debug", "info", "warning", "error"
+  };
   aChecker.Require(kLevels.contains(aSettings.logLevel),
                    "log_level",
                    aSettings.logLevel,
@@ -119,7 +142,8 @@
 {
   std::vector<OperatorToken> tokens;
   for (const auto& it : List(aText)) {
-    const std::pair<std::string, std::string> parts = absl::StrSplit(it, absl::MaxSplits('=', 1));
+    const std::pair<std::string, std::string> parts =
+      absl::StrSplit(it, absl::MaxSplits('=', 1));
     aChecker.Require(!parts.first.empty() && !parts.second.empty(),
                      "operators",
                      parts.first,
@@ -153,11 +177,15 @@
   settings.platform = absl::GetFlag(FLAGS_platform);
   settings.seeds = List(absl::GetFlag(FLAGS_seeds));
   settings.operators = ParseOperators(absl::GetFlag(FLAGS_operators), aChecker);
-  settings.gossipPort = static_cast<std::uint16_t>(absl::GetFlag(FLAGS_gossip_port));
-  settings.linkPort = static_cast<std::uint16_t>(absl::GetFlag(FLAGS_link_port));
-  settings.callerPort = static_cast<std::uint16_t>(absl::GetFlag(FLAGS_caller_port));
+  settings.gossipPort =
+    static_cast<std::uint16_t>(absl::GetFlag(FLAGS_gossip_port));
+  settings.linkPort =
+    static_cast<std::uint16_t>(absl::GetFlag(FLAGS_link_port));
+  settings.callerPort =
+    static_cast<std::uint16_t>(absl::GetFlag(FLAGS_caller_port));
   settings.callerThreads = absl::GetFlag(FLAGS_caller_threads);
-  settings.platformTimeout = Milliseconds(absl::GetFlag(FLAGS_platform_timeout_ms));
+  settings.platformTimeout =
+    Milliseconds(absl::GetFlag(FLAGS_platform_timeout_ms));
   settings.drainTimeout = Milliseconds(absl::GetFlag(FLAGS_drain_timeout_ms));
   settings.checkSlots = absl::GetFlag(FLAGS_check_slots);
   settings.claimWritesPerSecond = absl::GetFlag(FLAGS_claim_writes_per_second);
@@ -173,11 +201,16 @@
 SettingTable()
 {
   std::vector<SettingInfo> table;
-#define KNAPWEED_TEXT_ROW(aName, aDefault, aUnit, aRange, aHelp)                                   \
-  table.push_back({ #aName, EnvironmentName(#aName), aUnit, aDefault, aRange, aHelp });
-#define KNAPWEED_NUMBER_ROW(aName, aType, aDefault, aMin, aMax, aUnit, aHelp)                      \
-  table.push_back(                                                                                 \
-    { #aName, EnvironmentName(#aName), aUnit, #aDefault, #aMin " to " #aMax, aHelp });
+#define KNAPWEED_TEXT_ROW(aName, aDefault, aUnit, aRange, aHelp)               \
+  table.push_back(                                                             \
+    { #aName, EnvironmentName(#aName), aUnit, aDefault, aRange, aHelp });
+#define KNAPWEED_NUMBER_ROW(aName, aType, aDefault, aMin, aMax, aUnit, aHelp)  \
+  table.push_back({ #aName,                                                    \
+                    EnvironmentName(#aName),                                   \
+                    aUnit,                                                     \
+                    #aDefault,                                                 \
+                    #aMin " to " #aMax,                                        \
+                    aHelp });
   KNAPWEED_SETTING_LIST(KNAPWEED_TEXT_ROW, KNAPWEED_NUMBER_ROW)
 #undef KNAPWEED_TEXT_ROW
 #undef KNAPWEED_NUMBER_ROW
@@ -187,15 +220,29 @@
 std::string
 SettingsPage()
 {
-  std::string page = "# Settings of knapweedd\n\n"
-                     "Made by `knapweedd --print_settings_page`. A flag goes before its "
-                     "environment variable, which goes before the default. A bad value stops the "
-                     "start with exit code 2.\n\n"
-                     "| flag | environment | unit | default | range | meaning |\n"
-                     "|---|---|---|---|---|---|\n";
+  std::string page =
+    "# Settings of knapweedd\n\n"
+    "Made by `knapweedd --print_settings_page`. A flag goes before its "
+    "environment variable, which goes before the default. A bad value stops "
+    "the "
+    "start with exit code 2.\n\n"
+    "| flag | environment | unit | default | range | meaning |\n"
+    "|---|---|---|---|---|---|\n";
   for (const auto& it : SettingTable()) {
-    absl::StrAppend(&page, "| `--", it.name, "` | `", it.environment, "` | ", it.unit, " | `",
-                    it.defaultValue, "` | ", it.range, " | ", it.help, " |\n");
+    absl::StrAppend(&page,
+                    "| `--",
+                    it.name,
+                    "` | `",
+                    it.environment,
+                    "` | ",
+                    it.unit,
+                    " | `",
+                    it.defaultValue,
+                    "` | ",
+                    it.range,
+                    " | ",
+                    it.help,
+                    " |\n");
   }
   return page;
 }
@@ -209,8 +256,9 @@
   for (auto& it : arguments) {
     pointers.push_back(it.data());
   }
-  absl::SetProgramUsageMessage("the knapweedpaddle node; every flag is also an environment "
-                               "variable KNAPWEED_<FLAG>");
+  absl::SetProgramUsageMessage(
+    "the knapweedpaddle node; every flag is also an environment "
+    "variable KNAPWEED_<FLAG>");
   absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data());
 
   aReason.clear();
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -40,7 +40,8 @@
 {
   el::Configurations configuration;
   configuration.setToDefault();
-  configuration.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
+  configuration.setGlobally(el::ConfigurationType::Format,
+                            "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
   static constexpr std::array<el::Level, 4> kLevels{
@@ -58,9 +59,10 @@
          const std::string& aEvent,
          std::initializer_list<LogField> aFields)
 {
-  std::string line = "level=" + std::string(NameOf(kLogLevelNames, aLevel)) +
-                     " category=" + std::string(NameOf(kLogCategoryNames, aCategory)) +
-                     " event=" + aEvent;
+  std::string line =
+    "level=" + std::string(NameOf(kLogLevelNames, aLevel)) +
+    " category=" + std::string(NameOf(kLogCategoryNames, aCategory)) +
+    " event=" + aEvent;
   for (const auto& it : aFields) {
     line += " " + it.key + "=" + Quoted(it.value);
   }
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 const prometheus::Histogram::BucketBoundaries kSecondsBuckets{
-  0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 7, 15
+  0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025,
+  0.05,   0.1,     0.25,   0.5,   1,      2.5,   7,    15
 };
 
 } // namespace
@@ -27,9 +28,10 @@
   std::map<std::string, prometheus::Family<prometheus::Histogram>*> histograms;
 
   template<typename Type, typename Builder>
-  prometheus::Family<Type>& FamilyOf(std::map<std::string, prometheus::Family<Type>*>& aFamilies,
-                                     const std::string& aName,
-                                     Builder aBuilder)
+  prometheus::Family<Type>& FamilyOf(
+    std::map<std::string, prometheus::Family<Type>*>& aFamilies,
+    const std::string& aName,
+    Builder aBuilder)
   {
     const std::scoped_lock lock(mutex);
     auto& family = aFamilies[aName];
@@ -48,19 +50,29 @@
 Metrics::~Metrics() = default;
 
 void
-Metrics::Count(const std::string& aName, const MetricLabels& aLabels, double aAmount)
+Metrics::Count(const std::string& aName,
+               const MetricLabels& aLabels,
+               double aAmount)
 {
-  mImpl->FamilyOf(mImpl->counters, aName, prometheus::BuildCounter).Add(aLabels).Increment(aAmount);
+  mImpl->FamilyOf(mImpl->counters, aName, prometheus::BuildCounter)
+    .Add(aLabels)
+    .Increment(aAmount);
 }
 
 void
-Metrics::SetGauge(const std::string& aName, const MetricLabels& aLabels, double aValue)
+Metrics::SetGauge(const std::string& aName,
+                  const MetricLabels& aLabels,
+                  double aValue)
 {
-  mImpl->FamilyOf(mImpl->gauges, aName, prometheus::BuildGauge).Add(aLabels).Set(aValue);
+  mImpl->FamilyOf(mImpl->gauges, aName, prometheus::BuildGauge)
+    .Add(aLabels)
+    .Set(aValue);
 }
 
 void
-Metrics::Observe(const std::string& aName, const MetricLabels& aLabels, double aSeconds)
+Metrics::Observe(const std::string& aName,
+                 const MetricLabels& aLabels,
+                 double aSeconds)
 {
   mImpl->FamilyOf(mImpl->histograms, aName, prometheus::BuildHistogram)
     .Add(aLabels, kSecondsBuckets)
--- a/src/telemetry/Tracer.cpp
+++ b/src/telemetry/Tracer.cpp
@@ -15,14 +15,15 @@
 bool
 IsHex(const std::string& aText)
 {
-  return std::ranges::all_of(
-    aText, [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
+  return std::ranges::all_of(aText, [](char aDigit) {
+    return (aDigit >= '0' && aDigit <= '9') || (aDigit >= 'a' && aDigit <= 'f');
+  });
 }
 
 bool
 IsZero(const std::string& aText)
 {
-  return std::ranges::all_of(aText, [](char c) { return c == '0'; });
+  return std::ranges::all_of(aText, [](char aDigit) { return aDigit == '0'; });
 }
 
 } // namespace
@@ -36,8 +37,8 @@
 std::optional<TraceContext>
 TraceContext::Parse(const std::string& aHeader)
 {
-  if (aHeader.size() < kHeaderSize || aHeader.substr(0, 3) != "00-" || aHeader[35] != '-' ||
-      aHeader[52] != '-') {
+  if (aHeader.size() < kHeaderSize || aHeader.substr(0, 3) != "00-" ||
+      aHeader[35] != '-' || aHeader[52] != '-') {
     return std::nullopt;
   }
   TraceContext context;
@@ -68,7 +69,8 @@
   TraceContext context;
   context.traceId = RandomHex(kTraceIdDigits);
   const std::scoped_lock lock(mMutex);
-  context.sampled = std::uniform_real_distribution<double>(0, 1)(mRandom) < mShare;
+  context.sampled =
+    std::uniform_real_distribution<double>(0, 1)(mRandom) < mShare;
   return context;
 }
 
--- a/tests/standins/BackendStandin.cpp
+++ b/tests/standins/BackendStandin.cpp
@@ -19,7 +19,10 @@
 
 ABSL_FLAG(std::string, address, "127.0.0.1", "IPv4 address");
 ABSL_FLAG(int, port, 7200, "TCP port");
-ABSL_FLAG(std::string, node, "127.0.0.1:7102", "caller port of the node on this VM");
+ABSL_FLAG(std::string,
+          node,
+          "127.0.0.1:7102",
+          "caller port of the node on this VM");
 ABSL_FLAG(std::string, service, "timetable", "service name");
 ABSL_FLAG(std::string, version, "v1", "version name");
 ABSL_FLAG(int, slots, 12, "calls at a time");
@@ -61,7 +64,8 @@
     .count();
 }
 
-/** State of the server; answers come from the event loop after the service time. */
+/** State of the server; answers come from the event loop after the service
+ * time. */
 class Backend
 {
 public:
@@ -90,7 +94,7 @@
   {
     const std::string callId = HeaderOf(aRequest, "knapweed-call-id");
     const std::string key = HeaderOf(aRequest, "idempotency-key");
-    const std::string resource = aRequest.resource();
+    const std::string& resource = aRequest.resource();
     const Faults faults = FaultsFor(resource);
     Log("start", callId, key, resource);
     if (faults.hang) {
@@ -104,8 +108,9 @@
     }
     const bool fails = Draw() < faults.failShare;
     const auto writer = std::make_shared<ResponseWriter>(std::move(aWriter));
-    const std::string body = "version=" + mVersion + " call=" + callId + " path=" + resource +
-                             " echo=" + aRequest.body() + "\n";
+    const std::string body = "version=" + mVersion + " call=" + callId +
+                             " path=" + resource + " echo=" + aRequest.body() +
+                             "\n";
     const auto answer = [this, writer, body, fails, callId, key, resource] {
       Log("end", callId, key, resource);
       writer->send(fails ? Code::Internal_Server_Error : Code::Ok, body);
@@ -115,7 +120,8 @@
       answer();
       return;
     }
-    mLoop.Post([this, delay, answer] { mLoop.RunAfter(Milliseconds(delay), answer); });
+    mLoop.Post(
+      [this, delay, answer] { mLoop.RunAfter(Milliseconds(delay), answer); });
   }
 
   bool draining = false;
@@ -142,8 +148,9 @@
       return;
     }
     std::ostringstream line;
-    line << aWhat << ' ' << WallMicroseconds() << ' ' << mVersion << ' ' << aCallId << ' '
-         << (aKey.empty() ? "-" : aKey) << ' ' << aPath << '\n';
+    line << aWhat << ' ' << WallMicroseconds() << ' ' << mVersion << ' '
+         << aCallId << ' ' << (aKey.empty() ? "-" : aKey) << ' ' << aPath
+         << '\n';
     const std::scoped_lock lock(mMutex);
     std::fputs(line.str().c_str(), mLog);
     std::fflush(mLog);
@@ -204,15 +211,17 @@
     runtime::HttpRequest request;
     request.method = "POST";
     request.url = "http://" + absl::GetFlag(FLAGS_node) + "/-/v1/announce";
-    request.body = Json{ { "address",
-                           absl::GetFlag(FLAGS_address) + ":" +
-                             std::to_string(absl::GetFlag(FLAGS_port)) },
-                         { "service", absl::GetFlag(FLAGS_service) },
-                         { "version", absl::GetFlag(FLAGS_version) },
-                         { "slots", absl::GetFlag(FLAGS_slots) } }
-                     .dump();
+    request.body = Json{
+      { "address",
+        absl::GetFlag(FLAGS_address) + ":" +
+          std::to_string(absl::GetFlag(FLAGS_port)) },
+      { "service", absl::GetFlag(FLAGS_service) },
+      { "version", absl::GetFlag(FLAGS_version) },
+      { "slots", absl::GetFlag(FLAGS_slots) }
+    }.dump();
     mHttp.Send(std::move(request),
-               [](const std::optional<runtime::HttpResponse>&, const runtime::HttpReason&) {});
+               [](const std::optional<runtime::HttpResponse>&,
+                  const runtime::HttpReason&) {});
   }
 
   runtime::HttpClient mHttp;
--- a/tests/standins/PlatformStandin.cpp
+++ b/tests/standins/PlatformStandin.cpp
@@ -60,7 +60,9 @@
 {
   Json rows = Json::array();
   for (const auto& it : aRows) {
-    rows.push_back({ { "key", it.key }, { "value", it.value }, { "revision", it.revision } });
+    rows.push_back({ { "key", it.key },
+                     { "value", it.value },
+                     { "revision", it.revision } });
   }
   return Json{ { "rows", rows } };
 }
@@ -75,7 +77,9 @@
   for (const auto& it : aJson.at("writes")) {
     const bool remove = it.value("remove", false);
     transaction.writes.push_back(
-      { it.at("key"), remove ? std::string() : it.at("value").get<std::string>(), remove });
+      { it.at("key"),
+        remove ? std::string() : it.at("value").get<std::string>(),
+        remove });
   }
   return transaction;
 }
@@ -97,13 +101,15 @@
       const Json json = Json::parse(aRequest.body());
       mState->delayMs = json.value("ms", 0);
       mState->mode =
-        ValueOf(kFaultModeNames, json.at("mode").get<std::string>()).value_or(FaultMode::kNone);
+        ValueOf(kFaultModeNames, json.at("mode").get<std::string>())
+          .value_or(FaultMode::kNone);
       aWriter.send(Code::Ok, "");
       return;
     }
     if (path == "/counts") {
       aWriter.send(Code::Ok,
-                   Json{ { "reads", mState->reads.load() }, { "writes", mState->writes.load() } }
+                   Json{ { "reads", mState->reads.load() },
+                         { "writes", mState->writes.load() } }
                      .dump());
       return;
     }
@@ -118,7 +124,8 @@
     const Result result = Work(path, aRequest);
     if (mode == FaultMode::kLoseAnswers) {
       const std::scoped_lock lock(mState->mutex);
-      mUnanswered.push_back(std::make_shared<ResponseWriter>(std::move(aWriter)));
+      mUnanswered.push_back(
+        std::make_shared<ResponseWriter>(std::move(aWriter)));
       return;
     }
     aWriter.send(result.code, result.body);
@@ -136,18 +143,20 @@
       const Json json = Json::parse(aRequest.body());
       if (aPath == "/v1/table/read") {
         ++mState->reads;
-        return { Code::Ok, RowsJson(mState->table.Read(json.at("keys"))).dump() };
+        return { Code::Ok,
+                 RowsJson(mState->table.Read(json.at("keys"))).dump() };
       }
       if (aPath == "/v1/table/range") {
         ++mState->reads;
-        const auto rows =
-          mState->table.ReadRange(json.at("prefix"), json.at("first"), json.at("limit"));
+        const auto rows = mState->table.ReadRange(
+          json.at("prefix"), json.at("first"), json.at("limit"));
         return { Code::Ok, RowsJson(rows).dump() };
       }
       if (aPath == "/v1/table/commit") {
         ++mState->writes;
         const auto failed = mState->table.Commit(TransactionFrom(json));
-        return { failed.empty() ? Code::Ok : Code::Conflict, Json{ { "failed", failed } }.dump() };
+        return { failed.empty() ? Code::Ok : Code::Conflict,
+                 Json{ { "failed", failed } }.dump() };
       }
       return { Code::Not_Found, "" };
     } catch (const Json::exception& e) {
@@ -195,7 +204,8 @@
                   .flags(Pistache::Flags<Pistache::Tcp::Options>(
                            Pistache::Tcp::Options::ReuseAddr) |
                          Pistache::Tcp::Options::NoDelay));
-  endpoint.setHandler(std::make_shared<PlatformHandler>(std::make_shared<State>()));
+  endpoint.setHandler(
+    std::make_shared<PlatformHandler>(std::make_shared<State>()));
   endpoint.serveThreaded();
   stop.Wait();
   endpoint.shutdown();
--- a/tests/standins/StopSignal.h
+++ b/tests/standins/StopSignal.h
@@ -4,7 +4,8 @@
 
 namespace knapweedpaddle::standins {
 
-/** Blocks SIGTERM and SIGINT in all threads started later, and waits for them. */
+/** Blocks SIGTERM and SIGINT in all threads started later, and waits for them.
+ */
 class StopSignal
 {
 public:
--- a/tests/standins/Table.cpp
+++ b/tests/standins/Table.cpp
@@ -16,11 +16,14 @@
 }
 
 std::vector<Row>
-Table::ReadRange(const std::string& aPrefix, const std::string& aFirst, std::size_t aLimit) const
+Table::ReadRange(const std::string& aPrefix,
+                 const std::string& aFirst,
+                 std::size_t aLimit) const
 {
   std::vector<Row> rows;
   for (auto it = mRows.lower_bound(std::max(aPrefix, aFirst));
-       it != mRows.end() && it->first.starts_with(aPrefix) && rows.size() < aLimit;
+       it != mRows.end() && it->first.starts_with(aPrefix) &&
+       rows.size() < aLimit;
        ++it) {
     rows.push_back(it->second);
   }
--- a/tests/standins/Table.h
+++ b/tests/standins/Table.h
@@ -18,10 +18,14 @@
                                        const std::string& aFirst,
                                        std::size_t aLimit) const;
 
-  /** Returns the keys whose conditions failed; empty when the writes took effect. */
+  /** Returns the keys whose conditions failed; empty when the writes took
+   * effect. */
   std::vector<std::string> Commit(const platform::Transaction& aTransaction);
 
-  void PutObject(const std::string& aName, const std::string& aBody) { mObjects[aName] = aBody; }
+  void PutObject(const std::string& aName, const std::string& aBody)
+  {
+    mObjects[aName] = aBody;
+  }
   const std::string* GetObject(const std::string& aName) const;
 
 private:
