Let only peers that serve vouch for the newest version

Cause: found by the new fault matrix. A join round also ended before the node could serve. Ruled out: waiting for the platform alone, which leaves a cut zone dark. Conclusion: a starting peer raises the floor but does not open the gate.

--- a/include/knapweedpaddle/node/ConfigAgent.h
+++ b/include/knapweedpaddle/node/ConfigAgent.h
@@ -41,7 +41,7 @@
   void BeginGate();
 
   /** Takes over what a peer answered to a join. */
-  void OnJoinAnswer(std::uint64_t aVersion, std::uint64_t aRemembered);
+  void OnJoinAnswer(const PeerKnowledge& aPeer) { mGate.NotePeer(aPeer); }
 
   /** Notes that every peer asked has answered or timed out. */
   void OnPeersAsked();
--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -30,6 +30,7 @@
     std::function<nodes::JoinAnswer(const nodes::JoinAnswer&)> completeAnswer;
     std::function<void(const nodes::JoinAnswer&)> onJoinAnswer;
     std::function<void()> onPeersAsked;
+    std::function<bool()> isServing;
   };
 
   MemberAgent(Services aServices,
@@ -40,7 +41,7 @@
   nodes::Membership& Members() { return mMembers; }
   const nodes::Membership& Members() const { return mMembers; }
 
-  /** Looks for peers and joins some of them; repeats until one has answered. */
+  /** Looks for peers and joins some of them; repeats until this node serves. */
   void Bootstrap();
 
   /** Advances the failure detector; call every 100 ms. */
--- a/include/knapweedpaddle/node/ServingGate.h
+++ b/include/knapweedpaddle/node/ServingGate.h
@@ -8,6 +8,14 @@
 /** Puts the parts of a node together. */
 namespace knapweedpaddle::node {
 
+/** What a peer that was asked says of versions. */
+struct PeerKnowledge
+{
+  std::uint64_t version = 0;
+  std::uint64_t remembered = 0; ///< highest version heard from the asking address
+  bool serving = false;         ///< the peer is itself known to be up to date
+};
+
 /**
  * Decides when a node that started, or that was paused, may serve: once it
  * holds the newest version that the platform or its peers know of, or remember
@@ -23,7 +31,7 @@
   void Begin(Timestamp aNow);
 
   void NotePlatform(std::uint64_t aHead);
-  void NotePeer(std::uint64_t aVersion, std::uint64_t aRemembered);
+  void NotePeer(const PeerKnowledge& aPeer);
 
   /** Notes that every peer asked has answered or timed out. */
   void NotePeersAsked();
@@ -46,7 +54,7 @@
   Timestamp mBegan{};
   std::uint64_t mFloor = 0;
   bool mPlatformAnswered = false;
-  bool mPeerAnswered = false;
+  bool mServingPeerAnswered = false;
   bool mPeersAsked = false;
 };
 
--- a/src/node/ConfigAgent.cpp
+++ b/src/node/ConfigAgent.cpp
@@ -55,12 +55,6 @@
   });
 }
 
-void
-ConfigAgent::OnJoinAnswer(std::uint64_t aVersion, std::uint64_t aRemembered)
-{
-  mGate.NotePeer(aVersion, aRemembered);
-}
-
 void
 ConfigAgent::OnPeersAsked()
 {
--- a/src/node/ControlCore.cpp
+++ b/src/node/ControlCore.cpp
@@ -35,7 +35,8 @@
           return aAnswer;
         },
         [this](const nodes::JoinAnswer& aAnswer) { OnJoinAnswer(aAnswer); },
-        [this] { mConfig.OnPeersAsked(); } },
+        [this] { mConfig.OnPeersAsked(); },
+        [this] { return mConfig.IsServing(); } },
       std::move(aSelf),
       std::move(aSeeds),
       aSeed)
@@ -133,13 +134,16 @@
 void
 ControlCore::OnJoinAnswer(const nodes::JoinAnswer& aAnswer)
 {
-  mConfig.OnJoinAnswer(aAnswer.configVersion, aAnswer.rememberedVersion);
   mMoves.Merge(aAnswer.moves);
-  // The answering node itself comes first in its answer.
-  if (!aAnswer.members.empty()) {
-    mConfig.OnPeerVersion(LinkAddress(aAnswer.members.front().record),
-                          aAnswer.configVersion);
+  if (aAnswer.members.empty()) {
+    return;
   }
+  // The answering node itself comes first in its answer.
+  const MemberRecord& peer = aAnswer.members.front().record;
+  mConfig.OnJoinAnswer({ aAnswer.configVersion,
+                         aAnswer.rememberedVersion,
+                         peer.state != MemberState::kStarting });
+  mConfig.OnPeerVersion(LinkAddress(peer), aAnswer.configVersion);
 }
 
 void
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -199,10 +199,11 @@
 MemberAgent::OnRoundEnd()
 {
   mServices.onPeersAsked();
-  if ((mRoundAnswered && mRowWritten) || mRetryPending) {
+  const bool settled = mRoundAnswered && mRowWritten && mServices.isServing();
+  if (settled || mRetryPending) {
     return;
   }
-  // Alone, or the row is missing: look again, ever more rarely.
+  // Alone, not up to date or without a row: look again, ever more rarely.
   mRetryPending = true;
   mServices.scheduler.RunAfter(mBackoff.Next(mRandom), [this] {
     mRetryPending = false;
--- a/src/node/ServingGate.cpp
+++ b/src/node/ServingGate.cpp
@@ -29,10 +29,11 @@
 }
 
 void
-ServingGate::NotePeer(std::uint64_t aVersion, std::uint64_t aRemembered)
+ServingGate::NotePeer(const PeerKnowledge& aPeer)
 {
-  mPeerAnswered = true;
-  mFloor = std::max({ mFloor, aVersion, aRemembered });
+  // A peer that is starting as well, as in a herd, knows of no newest version.
+  mServingPeerAnswered |= aPeer.serving;
+  mFloor = std::max({ mFloor, aPeer.version, aPeer.remembered });
 }
 
 void
@@ -47,7 +48,7 @@
   if (mOpen) {
     return true;
   }
-  const bool heard = mPlatformAnswered || (mPeerAnswered && mPeersAsked);
+  const bool heard = mPlatformAnswered || (mServingPeerAnswered && mPeersAsked);
   // Without anybody in reach a fresh node holds nothing, and so stays closed.
   const bool alone = aOwnVersion > 0 && aNow - mBegan >= kAloneAfter;
   mOpen = aOwnVersion >= mFloor && (heard || alone);
--- /dev/null
+++ b/tests/fakes/FakeClock.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "knapweedpaddle/runtime/Scheduler.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+namespace knapweedpaddle::fakes {
+
+/** Simulated time with an ordered queue of tasks. */
+class FakeClock
+{
+public:
+  using Task = std::function<void()>;
+
+  Timestamp Now() const { return mNow; }
+  WallMilliseconds Wall() const
+  {
+    return kWallStart + std::chrono::duration_cast<Milliseconds>(mNow - kStart).count();
+  }
+
+  std::uint64_t At(Timestamp aWhen, Task aTask)
+  {
+    const std::uint64_t id = ++mLastId;
+    mQueue.emplace(Key{ std::max(aWhen, mNow), id }, std::move(aTask));
+    mTimes[id] = std::max(aWhen, mNow);
+    return id;
+  }
+
+  void Cancel(std::uint64_t aId)
+  {
+    if (const auto it = mTimes.find(aId); it != mTimes.end()) {
+      mQueue.erase(Key{ it->second, aId });
+      mTimes.erase(it);
+    }
+  }
+
+  void RunFor(Milliseconds aTime) { RunUntil(mNow + aTime); }
+
+  void RunUntil(Timestamp aWhen)
+  {
+    while (!mQueue.empty() && mQueue.begin()->first.when <= aWhen) {
+      const auto it = mQueue.begin();
+      const Key key = it->first;
+      const Task task = std::move(it->second);
+      mQueue.erase(it);
+      mTimes.erase(key.id);
+      mNow = key.when;
+      task();
+    }
+    mNow = aWhen;
+  }
+
+private:
+  struct Key
+  {
+    Timestamp when;
+    std::uint64_t id = 0;
+
+    auto operator<=>(const Key&) const = default;
+  };
+
+  static constexpr WallMilliseconds kWallStart = 1'800'000'000'000;
+  static constexpr Timestamp kStart{ std::chrono::hours(1) };
+
+  Timestamp mNow = kStart;
+  std::uint64_t mLastId = 0;
+  std::map<Key, Task> mQueue;
+  std::map<std::uint64_t, Timestamp> mTimes;
+};
+
+/** The scheduler of one thread on the fake clock. */
+class FakeScheduler : public runtime::Scheduler
+{
+public:
+  explicit FakeScheduler(FakeClock& aClock)
+    : mClock(aClock)
+  {
+  }
+
+  Timestamp Now() const override { return mClock.Now(); }
+  WallMilliseconds Wall() const override { return mClock.Wall(); }
+
+  TimerId RunAfter(Milliseconds aDelay, Task aTask) override
+  {
+    return mClock.At(mClock.Now() + aDelay, std::move(aTask));
+  }
+
+  void Cancel(TimerId aTimer) override { mClock.Cancel(aTimer); }
+
+private:
+  FakeClock& mClock;
+};
+
+} // namespace knapweedpaddle::fakes
--- /dev/null
+++ b/tests/fakes/FakeMesh.cpp
@@ -0,0 +1,413 @@
+#include "FakeMesh.h"
+
+#include "knapweedpaddle/config/EntryCodec.h"
+#include "knapweedpaddle/platform/CatalogueRows.h"
+
+namespace knapweedpaddle::fakes {
+
+namespace {
+
+constexpr std::size_t kDatagramOverhead = 28;
+constexpr std::size_t kStreamOverhead = 240;
+constexpr Milliseconds kPeerTimeout{ 1500 };
+constexpr std::size_t kSeedsPerZone = 3;
+constexpr std::uint16_t kLinkPort = 7101;
+constexpr std::uint64_t kFirstAddress = 0x0a000001; ///< never used by a socket
+
+} // namespace
+
+/** Timers of one life of one node; they wait while the node is paused. */
+class NodeScheduler : public runtime::Scheduler
+{
+public:
+  NodeScheduler(FakeClock& aClock, FakeMesh::NodeState& aNode)
+    : mClock(aClock)
+    , mNode(aNode)
+    , mLife(aNode.incarnation)
+  {
+  }
+
+  Timestamp Now() const override { return mClock.Now(); }
+  WallMilliseconds Wall() const override { return mClock.Wall(); }
+
+  TimerId RunAfter(Milliseconds aDelay, Task aTask) override
+  {
+    return mClock.At(mClock.Now() + aDelay, [this, task = std::move(aTask), life = mLife] {
+      if (!mNode.alive || mNode.incarnation != life) {
+        return;
+      }
+      if (mNode.paused) {
+        mNode.waiting.push_back(task);
+        return;
+      }
+      task();
+    });
+  }
+
+  void Cancel(TimerId aTimer) override { mClock.Cancel(aTimer); }
+
+private:
+  FakeClock& mClock;
+  FakeMesh::NodeState& mNode;
+  std::uint64_t mLife;
+};
+
+/** Streams between nodes. */
+class FakePeers : public nodes::PeerClient
+{
+public:
+  FakePeers(FakeMesh& aMesh, FakeMesh::NodeState& aSelf)
+    : mMesh(aMesh)
+    , mSelf(aSelf)
+  {
+  }
+
+  void Join(const std::string& aAddress,
+            const nodes::MemberUpdate& aSelf,
+            JoinCallback aCallback) override
+  {
+    Ask<nodes::JoinAnswer>(
+      aAddress,
+      nodes::EncodeJoinRequest(aSelf).size(),
+      [aSelf](node::ControlCore& aCore) { return aCore.OnJoin(aSelf); },
+      [](const nodes::JoinAnswer& aAnswer) { return nodes::EncodeJoinAnswer(aAnswer).size(); },
+      std::move(aCallback));
+  }
+
+  void Pull(const std::string& aAddress, std::uint64_t aFrom, PullCallback aCallback) override
+  {
+    Ask<nodes::PullAnswer>(
+      aAddress,
+      nodes::EncodePullRequest(aFrom).size(),
+      [aFrom](node::ControlCore& aCore) { return aCore.OnPull(aFrom); },
+      [](const nodes::PullAnswer& aAnswer) { return nodes::EncodePullAnswer(aAnswer).size(); },
+      std::move(aCallback));
+  }
+
+  void Report(const std::string& aAddress, const moves::EvidenceReport& aReport) override
+  {
+    Ask<bool>(
+      aAddress,
+      moves::EncodeEvidence(aReport).size(),
+      [aReport](node::ControlCore& aCore) {
+        aCore.OnReport(aReport);
+        return true;
+      },
+      [](bool) { return std::size_t{ 0 }; },
+      [](std::optional<bool>) {});
+  }
+
+private:
+  template<typename T, typename Work, typename Size, typename Callback>
+  void Ask(const std::string& aAddress,
+           std::size_t aBytes,
+           Work aWork,
+           Size aSize,
+           Callback aCallback)
+  {
+    FakeMesh::NodeState* peer = mMesh.FindLink(aAddress);
+    mSelf.sentBytes += aBytes + kStreamOverhead;
+    const auto answered = std::make_shared<bool>(false);
+    mMesh.Deliver(mSelf, kPeerTimeout, [answered, aCallback] {
+      if (!std::exchange(*answered, true)) {
+        aCallback(std::nullopt);
+      }
+    });
+    if (!peer || !mMesh.Reaches(mSelf.zone, peer->zone)) {
+      return;
+    }
+    const Milliseconds latency = mMesh.Latency(mSelf, *peer);
+    const std::uint64_t life = mSelf.incarnation;
+    mMesh.Deliver(*peer, latency, [this, peer, life, aBytes, aWork, aSize, aCallback, answered] {
+      peer->receivedBytes += aBytes + kStreamOverhead;
+      const T result = aWork(*peer->core);
+      peer->sentBytes += aSize(result) + kStreamOverhead;
+      if (!mMesh.Reaches(peer->zone, mSelf.zone) || mSelf.incarnation != life) {
+        return;
+      }
+      mMesh.Deliver(
+        mSelf, mMesh.Latency(*peer, mSelf), [this, aSize, result, aCallback, answered] {
+          if (!std::exchange(*answered, true)) {
+            mSelf.receivedBytes += aSize(result) + kStreamOverhead;
+            aCallback(result);
+          }
+        });
+    });
+  }
+
+  FakeMesh& mMesh;
+  FakeMesh::NodeState& mSelf;
+};
+
+FakeMesh::FakeMesh(std::uint64_t aSeed)
+  : mRandom(aSeed)
+{
+}
+
+FakeMesh::~FakeMesh() = default;
+
+FakeMesh::NodeState&
+FakeMesh::Add(const std::string& aZone, const std::string& aService)
+{
+  NodeState& node = members.emplace_back();
+  const std::uint64_t address = kFirstAddress + members.size();
+  node.id = nodes::NodeId{ address << 16 | 7100 };
+  node.zone = aZone;
+  node.backend = backends::BackendServer{ AddressWithPort(node.id, 7200), aService, "v1", 12 };
+  return node;
+}
+
+void
+FakeMesh::Start(NodeState& aNode)
+{
+  if (aNode.core) {
+    Kill(aNode);
+    NodeState& old = mGraveyard.emplace_back();
+    old.scheduler = std::move(aNode.scheduler);
+    old.platform = std::move(aNode.platform);
+    old.peers = std::move(aNode.peers);
+    old.core = std::move(aNode.core);
+  }
+  aNode.alive = true;
+  aNode.paused = false;
+  aNode.waiting.clear();
+  aNode.incarnation =
+    std::max(static_cast<std::uint64_t>(clock.Wall()), aNode.incarnation + 1);
+  aNode.scheduler = std::make_unique<NodeScheduler>(clock, aNode);
+  aNode.platform = std::make_unique<FakePlatform>(clock, shared, mRandom());
+  aNode.platform->SetPlan([this, &aNode](bool) {
+    return mPlatformCuts.contains(aNode.zone) ? PlatformFault::kLostRequest : mPlatformFault;
+  });
+  aNode.peers = std::make_unique<FakePeers>(*this, aNode);
+  nodes::MemberRecord self;
+  self.node = aNode.id;
+  self.linkPort = kLinkPort;
+  self.callerPort = 7102;
+  self.zone = aNode.zone;
+  self.incarnation = aNode.incarnation;
+  aNode.core = std::make_unique<node::ControlCore>(
+    node::ControlCore::Services{
+      *aNode.scheduler,
+      *aNode.platform,
+      *aNode.peers,
+      [this, &aNode](const nodes::Datagram& aDatagram) { Send(aNode, aDatagram); },
+      [this, &aNode](routing::RoutingViewPtr aView) { OnView(aNode, std::move(aView)); },
+      [](const std::optional<backends::BackendServer>&) {},
+      [](const std::string&, const std::string&) {},
+    },
+    self,
+    SeedsFor(aNode),
+    mRandom());
+  aNode.core->Start();
+  Announce(aNode);
+}
+
+std::vector<std::string>
+FakeMesh::SeedsFor(const NodeState& aNode) const
+{
+  std::vector<std::string> seeds;
+  for (const auto& it : members) {
+    if (it.zone == aNode.zone && seeds.size() < kSeedsPerZone) {
+      seeds.push_back(AddressWithPort(it.id, kLinkPort));
+    }
+  }
+  return seeds;
+}
+
+void
+FakeMesh::StartAll()
+{
+  for (auto& it : members) {
+    Start(it);
+  }
+}
+
+void
+FakeMesh::Kill(NodeState& aNode)
+{
+  aNode.alive = false;
+  aNode.view.reset();
+  aNode.platform->Kill();
+  ++aNode.incarnation;
+}
+
+void
+FakeMesh::Pause(NodeState& aNode)
+{
+  aNode.paused = true;
+}
+
+void
+FakeMesh::Resume(NodeState& aNode)
+{
+  aNode.paused = false;
+  for (auto& it : std::exchange(aNode.waiting, {})) {
+    Deliver(aNode, Milliseconds(0), std::move(it));
+  }
+}
+
+void
+FakeMesh::Cut(const std::string& aFrom, const std::string& aTo)
+{
+  mCuts.emplace(aFrom, aTo);
+}
+
+void
+FakeMesh::Heal()
+{
+  mCuts.clear();
+}
+
+void
+FakeMesh::CutPlatform(const std::string& aZone)
+{
+  mPlatformCuts.insert(aZone);
+}
+
+void
+FakeMesh::HealPlatform()
+{
+  mPlatformCuts.clear();
+}
+
+void
+FakeMesh::Accept(NodeState& aNode,
+                 const std::string& aOperation,
+                 std::vector<config::Entry> aEntries)
+{
+  config::ChangeRequest request;
+  request.operationId = aOperation;
+  request.upserts = std::move(aEntries);
+  aNode.core->Acceptor().Accept(
+    std::move(request), "owner", [this, aOperation](const operators::AcceptResult& aResult) {
+      answers[aOperation] = aResult;
+    });
+}
+
+bool
+FakeMesh::AllServe(std::uint64_t aVersion) const
+{
+  return std::ranges::all_of(members, [aVersion](const NodeState& aNode) {
+    return !aNode.alive ||
+           (aNode.view && aNode.view->open && aNode.view->config->version >= aVersion);
+  });
+}
+
+std::size_t
+FakeMesh::ServingCount() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(members, [](const NodeState& aNode) {
+    return aNode.alive && aNode.view && aNode.view->open;
+  }));
+}
+
+FakeMesh::NodeState*
+FakeMesh::Find(nodes::NodeId aId)
+{
+  const auto index = (static_cast<std::uint64_t>(aId) >> 16) - kFirstAddress - 1;
+  return index < members.size() ? &members[index] : nullptr;
+}
+
+FakeMesh::NodeState*
+FakeMesh::FindLink(const std::string& aAddress)
+{
+  const auto id = nodes::ParseNodeId(aAddress);
+  return id ? Find(*id) : nullptr;
+}
+
+bool
+FakeMesh::Reaches(const std::string& aFrom, const std::string& aTo) const
+{
+  return !mCuts.contains({ aFrom, aTo });
+}
+
+Milliseconds
+FakeMesh::Latency(const NodeState& aFrom, const NodeState& aTo)
+{
+  return Milliseconds(aFrom.zone == aTo.zone ? 1 : 2) +
+         Milliseconds(static_cast<std::int64_t>(mRandom() % 2));
+}
+
+void
+FakeMesh::Deliver(NodeState& aNode, Milliseconds aDelay, FakeClock::Task aTask)
+{
+  const std::uint64_t life = aNode.incarnation;
+  clock.At(clock.Now() + aDelay, [&aNode, life, task = std::move(aTask)] {
+    if (!aNode.alive || aNode.incarnation != life) {
+      return;
+    }
+    if (aNode.paused) {
+      aNode.waiting.push_back(task);
+      return;
+    }
+    task();
+  });
+}
+
+void
+FakeMesh::Send(NodeState& aFrom, const nodes::Datagram& aDatagram)
+{
+  const std::string bytes = nodes::EncodeGossip(aDatagram.message, "mesh");
+  aFrom.sentBytes += bytes.size() + kDatagramOverhead;
+  ++aFrom.messages;
+  NodeState* to = Find(aDatagram.to);
+  const bool lost = std::uniform_real_distribution<double>(0, 1)(mRandom) < mLoss;
+  if (!to || lost || !Reaches(aFrom.zone, to->zone)) {
+    return;
+  }
+  Deliver(*to, Latency(aFrom, *to), [to, bytes] {
+    to->receivedBytes += bytes.size() + kDatagramOverhead;
+    to->core->Receive(*nodes::DecodeGossip(bytes, "mesh"));
+  });
+}
+
+void
+FakeMesh::OnView(NodeState& aNode, routing::RoutingViewPtr aView)
+{
+  if (aView->open) {
+    const std::uint64_t version = aView->config->version;
+    if (version < aNode.servedVersion) {
+      violations.push_back("P1: " + ToString(aNode.id) + " went from version " +
+                           std::to_string(aNode.servedVersion) + " to " +
+                           std::to_string(version));
+    }
+    if (version > aNode.servedVersion) {
+      aNode.servedVersion = version;
+      aNode.servedSince = clock.Now();
+    }
+    config::ConfigReason reason;
+    if (!config::Validate(*aView->config, reason)) {
+      violations.push_back("P2: " + reason.message);
+    }
+    const auto row = shared.table.Read({ platform::ChangeKey(version) }).front();
+    const auto change = config::DecodeChange(row.value, reason);
+    if (version > 0 && change && change->digest != aView->config->Digest()) {
+      violations.push_back("P3: version " + std::to_string(version) + " has another digest");
+    }
+  }
+  aNode.view = std::move(aView);
+}
+
+void
+FakeMesh::Announce(NodeState& aNode)
+{
+  if (aNode.backend) {
+    aNode.core->Announce({ *aNode.backend, false });
+  }
+  aNode.scheduler->RunAfter(Milliseconds(1000), [this, &aNode] { Announce(aNode); });
+}
+
+std::vector<config::Entry>
+BasicEntries(const std::string& aVersion)
+{
+  config::ServiceEntry service;
+  service.header = { "svc", "owner", 0 };
+  service.version = aVersion;
+  config::RouteEntry route;
+  route.header = { "route", "owner", 0 };
+  route.pathPrefix = "/svc/";
+  route.service = "svc";
+  return { service, route };
+}
+
+} // namespace knapweedpaddle::fakes
--- /dev/null
+++ b/tests/proof/ProofLog.cpp
@@ -0,0 +1,31 @@
+#include "ProofLog.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace knapweedpaddle::proof {
+
+void
+Note(const std::string& aProperty,
+     const std::string& aFault,
+     std::uint64_t aCells,
+     std::uint64_t aBad,
+     const std::string& aTest)
+{
+  const char* path = std::getenv("KNAPWEED_PROOF");
+  if (!path) {
+    return;
+  }
+  if (std::FILE* file = std::fopen(path, "a")) {
+    std::fprintf(file,
+                 "%s|%s|%llu|%llu|%s\n",
+                 aProperty.c_str(),
+                 aFault.c_str(),
+                 static_cast<unsigned long long>(aCells),
+                 static_cast<unsigned long long>(aBad),
+                 aTest.c_str());
+    std::fclose(file);
+  }
+}
+
+} // namespace knapweedpaddle::proof
