Stop passing on the progress of moves that ended

Cause: a node forgot a move's progress when the configuration ended the move, then took the same report from a slower peer for news and passed it on; peers did likewise, without end. Found by the move trials: one case of 12 nodes ran for over 8 minutes and grew until it was killed. Ruled out: a hop count, which bounds a storm but still sends it. Conclusion: whether a report is news is asked of the configuration first.

--- a/include/knapweedpaddle/moves/MoveBoard.h
+++ b/include/knapweedpaddle/moves/MoveBoard.h
@@ -19,8 +19,12 @@
 class MoveBoard
 {
 public:
-  /** Merges one report; true when it was news. */
-  bool Merge(const nodes::MoveProgress& aProgress);
+  /**
+   * Merges one report; true when it was news. A report of a move that the
+   * configuration ended is never news, or it would be passed on forever.
+   */
+  bool Merge(const config::Snapshot& aSnapshot,
+             const nodes::MoveProgress& aProgress);
 
   /** Forgets moves that are no longer open at their revision. */
   void Prune(const config::Snapshot& aSnapshot);
--- a/src/moves/MoveBoard.cpp
+++ b/src/moves/MoveBoard.cpp
@@ -9,9 +9,34 @@
 using config::MoveEntry;
 using nodes::MoveProgress;
 
+namespace {
+
+/** True while a move may still be open: at its revision, or in a newer
+ * configuration. */
+bool
+MayBeOpen(const config::Snapshot& aSnapshot,
+          const std::string& aMove,
+          std::uint64_t aRevision)
+{
+  const auto* move = aSnapshot.Get<MoveEntry>(config::EntryKind::kMove, aMove);
+  if (!move) {
+    return aRevision > aSnapshot.version;
+  }
+  if (move->header.revision == aRevision) {
+    return move->state == config::MoveState::kOpen;
+  }
+  return aRevision > move->header.revision && aRevision > aSnapshot.version;
+}
+
+} // namespace
+
 bool
-MoveBoard::Merge(const MoveProgress& aProgress)
+MoveBoard::Merge(const config::Snapshot& aSnapshot,
+                 const MoveProgress& aProgress)
 {
+  if (!MayBeOpen(aSnapshot, aProgress.move, aProgress.revision)) {
+    return false;
+  }
   const Key key{ aProgress.move, aProgress.revision, aProgress.zone };
   const auto [it, added] = mProgress.try_emplace(key, aProgress);
   if (added) {
@@ -35,15 +60,7 @@
 MoveBoard::Prune(const config::Snapshot& aSnapshot)
 {
   std::erase_if(mProgress, [&aSnapshot](const auto& aItem) {
-    const auto* move =
-      aSnapshot.Get<MoveEntry>(config::EntryKind::kMove, aItem.first.move);
-    if (!move) {
-      // The entry may be newer than this node's configuration.
-      return aItem.first.revision <= aSnapshot.version;
-    }
-    return move->header.revision > aItem.first.revision ||
-           (move->header.revision == aItem.first.revision &&
-            move->state != config::MoveState::kOpen);
+    return !MayBeOpen(aSnapshot, aItem.first.move, aItem.first.revision);
   });
 }
 
--- a/src/node/MoveAgent.cpp
+++ b/src/node/MoveAgent.cpp
@@ -56,13 +56,12 @@
 {
   std::vector<MoveProgress> news;
   for (const auto& it : aProgress) {
-    if (mBoard.Merge(it)) {
+    if (mBoard.Merge(*mServices.store.Current(), it)) {
       news.push_back(it);
       mServices.onNews(it);
     }
   }
   if (!news.empty()) {
-    mBoard.Prune(*mServices.store.Current());
     mServices.onSharesChanged();
     mServices.send(mServices.members.ProgressMessages(news));
   }
--- a/tests/node/MeshFaultTest.cpp
+++ b/tests/node/MeshFaultTest.cpp
@@ -14,7 +14,7 @@
 
 constexpr Milliseconds kBound{ 7000 }; ///< the target's time for a change to be in force
 constexpr Milliseconds kFaultTime{ 5000 };
-constexpr std::uint64_t kSeeds = 4;
+constexpr std::uint64_t kSeeds = 12;
 const std::vector<std::string> kZones{ "regina-yard", "saskatoon-hall", "lethbridge-vault" };
 
 /** A fault that begins and ends. */
