Judge versions against the old one at the same moment, all routes together too

(1) A fault that both versions share condemned the new one: the old version's share was remembered by time, so it lagged, and was unknown on quiet routes or after a judge was replaced. (2) On Swan Valley's few calls a stage ended before 30% failures could show, so more than the canary share reached a bad version. (3) Random draws scattered 10% of calls to a share of 5%. Ruled out: a longer dwell for every stage, which makes good versions late. Change: the old version's rate is the higher of a long and a short memory counted in calls, by route and over all routes; a stage with fewer than 20 calls waits one step; suspicion above a quarter holds it; shares are drawn from an evenly spread sequence. The trial's check was made exact where a trace showed an allowed case: a cut zone can't hear the others' verdict, and zones where a version is sound advance on their own evidence.

--- a/include/knapweedpaddle/moves/VersionTest.h
+++ b/include/knapweedpaddle/moves/VersionTest.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 namespace knapweedpaddle::moves {
 
@@ -18,11 +19,8 @@
     0.02; ///< share of bad calls that is never held against a version
   double oldFactor = 1.5; ///< times the old version's share that is allowed
   double threshold = 16;  ///< log likelihood ratio that condemns
-  double memory =
-    0.97; ///< share of the old version's counts kept each interval
-  std::uint64_t leastOld = 20; ///< old calls needed for a comparison
   double aloneTolerance =
-    0.05; ///< allowed when the old version has no calls to compare
+    0.5; ///< allowed while there is nothing to compare with
 };
 
 /**
@@ -39,22 +37,26 @@
 public:
   explicit VersionTest(VersionTestOptions aOptions);
 
-  /** Adds one interval; true once the new version is condemned. */
-  bool Add(const CallCounts& aBefore, const CallCounts& aAfter);
+  /**
+   * Adds one interval; true once the new version is condemned.
+   *
+   * @param aOldShare  the old version's share of bad calls at the same time,
+   * or nothing when it is not known.
+   */
+  bool Add(std::optional<double> aOldShare, const CallCounts& aAfter);
 
   /** Returns the strongest evidence as a share of the threshold, 0 to 1 and
    * above. */
   double Suspicion() const;
 
   /** Returns the share of bad calls allowed at present. */
-  double Allowed() const;
+  double Allowed() const { return mAllowed; }
 
   static constexpr std::size_t kAlternatives = 6;
 
 private:
   VersionTestOptions mOptions;
-  double mOldCalls = 0;
-  double mOldBad = 0;
+  double mAllowed;
   std::array<double, kAlternatives> mSums{};
   bool mCondemned = false;
 };
--- a/include/knapweedpaddle/moves/ZoneJudge.h
+++ b/include/knapweedpaddle/moves/ZoneJudge.h
@@ -2,6 +2,7 @@
 
 #include "knapweedpaddle/moves/EvidenceReport.h"
 #include "knapweedpaddle/moves/MoveBoard.h"
+#include "knapweedpaddle/moves/OldVersionRate.h"
 #include "knapweedpaddle/moves/VersionTest.h"
 
 #include <map>
@@ -54,6 +55,8 @@
   {
     VersionTest failures;
     VersionTest slow;
+    OldVersionRate oldFailures;
+    OldVersionRate oldSlow;
     std::uint64_t stageCalls =
       0; ///< calls of the new version since the stage began
 
@@ -63,6 +66,7 @@
   struct MoveCase
   {
     std::uint64_t revision = 0;
+    RouteState all; ///< of all routes together, for those with few calls
     std::map<std::string, RouteState> routes;
     std::uint32_t stage = 0;
     WallMilliseconds stageSince = 0;
@@ -91,10 +95,14 @@
   };
 
   std::string Test(MoveCase& aCase, const config::MoveEntry& aMove);
-  bool MayAdvance(MoveCase& aCase,
-                  const config::Snapshot& aSnapshot,
-                  const config::MoveEntry& aMove,
-                  WallMilliseconds aNow);
+  static std::string TestRoute(RouteState& aRoute,
+                               const RouteState& aAll,
+                               const std::string& aName,
+                               const Interval& aInterval);
+  static double Suspicion(const MoveCase& aCase);
+  static bool MayAdvance(const MoveCase& aCase,
+                         const config::MoveEntry& aMove,
+                         WallMilliseconds aNow);
 
   std::string mZone;
   std::map<std::string, MoveCase> mCases;
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -3,6 +3,7 @@
 #include "knapweedpaddle/nodes/CallCodec.h"
 #include "knapweedpaddle/routing/Picker.h"
 #include "knapweedpaddle/routing/RetryPolicy.h"
+#include "knapweedpaddle/routing/ShareSequence.h"
 
 #include <algorithm>
 #include <array>
@@ -167,8 +168,8 @@
     if (!route->limit.empty() && !TakeLimit(route->limit, aCall.received)) {
       return "limit \"" + route->limit + "\" is exceeded";
     }
-    const double draw = std::uniform_real_distribution<double>(0, 1)(mRandom);
-    aCall.versions = mView->VersionsFor(route->service, route->callClass, draw);
+    aCall.versions = mView->VersionsFor(
+      route->service, route->callClass, DrawFor(route->header.name));
     return {};
   }
 
@@ -186,6 +187,12 @@
     return mLimits.at(aName).bucket.Take(aNow);
   }
 
+  double DrawFor(const std::string& aRoute)
+  {
+    const double start = std::uniform_real_distribution<double>(0, 1)(mRandom);
+    return mDraws.try_emplace(aRoute, start).first->second.Next();
+  }
+
   const routing::Target* Choose(const Call& aCall)
   {
     for (const auto& version : aCall.versions) {
@@ -435,6 +442,7 @@
   std::mt19937_64 mRandom;
   routing::RoutingViewPtr mView;
   std::unordered_map<std::string, Limit> mLimits;
+  std::unordered_map<std::string, routing::ShareSequence> mDraws; ///< by route
   std::size_t mInFlight = 0;
   bool mDraining = false;
   bool mClosed = false;
--- a/src/moves/VersionTest.cpp
+++ b/src/moves/VersionTest.cpp
@@ -19,15 +19,18 @@
 
 VersionTest::VersionTest(VersionTestOptions aOptions)
   : mOptions(aOptions)
+  , mAllowed(aOptions.aloneTolerance)
 {
 }
 
 bool
-VersionTest::Add(const CallCounts& aBefore, const CallCounts& aAfter)
+VersionTest::Add(std::optional<double> aOldShare, const CallCounts& aAfter)
 {
-  mOldCalls = mOldCalls * mOptions.memory + static_cast<double>(aBefore.calls);
-  mOldBad = mOldBad * mOptions.memory + static_cast<double>(aBefore.bad);
-  const double allowed = Allowed();
+  if (aOldShare) {
+    mAllowed = std::min(kMostAllowed,
+                        mOptions.tolerance + mOptions.oldFactor * *aOldShare);
+  }
+  const double allowed = mAllowed;
   const auto bad = static_cast<double>(aAfter.bad);
   const auto good =
     static_cast<double>(aAfter.calls - std::min(aAfter.bad, aAfter.calls));
@@ -47,14 +50,4 @@
   return *std::ranges::max_element(mSums) / mOptions.threshold;
 }
 
-double
-VersionTest::Allowed() const
-{
-  if (mOldCalls < static_cast<double>(mOptions.leastOld)) {
-    return mOptions.aloneTolerance;
-  }
-  const double old = (mOldBad + 1) / (mOldCalls + 2);
-  return std::min(kMostAllowed, mOptions.tolerance + mOptions.oldFactor * old);
-}
-
 } // namespace knapweedpaddle::moves
--- a/src/moves/ZoneJudge.cpp
+++ b/src/moves/ZoneJudge.cpp
@@ -13,22 +13,30 @@
 
 namespace {
 
-/** Calls of the new version on a route that a stage asks for. */
+/** Calls of the new version that a stage asks for. */
 constexpr std::uint64_t kEnoughCalls = 20;
 
 /** Evidence against the version, as a share of the threshold, that holds a
  * stage. */
-constexpr double kHoldSuspicion = 0.5;
+constexpr double kHoldSuspicion = 0.25;
 
-/** How long a stage waits for calls on quiet routes. */
-constexpr Milliseconds kQuietWait{ 5000 };
+/** Name of the test of all routes together. */
+const std::string kAllRoutes = "all routes";
+
+/** The higher of what the old version showed on the route and on all routes. */
+std::optional<double>
+Highest(const OldVersionRate& aRoute, const OldVersionRate& aAll)
+{
+  const auto route = aRoute.Share();
+  const auto all = aAll.Share();
+  return route && all ? std::max(*route, *all) : (route ? route : all);
+}
 
 VersionTestOptions
 SlowOptions()
 {
   VersionTestOptions options;
   options.tolerance = 0.05;
-  options.aloneTolerance = 0.1;
   return options;
 }
 
@@ -135,11 +143,7 @@
     opinion.move = id.name;
     opinion.stage = stage;
     opinion.late = IsLate(*move, stage, aNow);
-    for (const auto& [name, route] : item.routes) {
-      opinion.suspicion = std::max({ opinion.suspicion,
-                                     route.failures.Suspicion(),
-                                     route.slow.Suspicion() });
-    }
+    opinion.suspicion = Suspicion(item);
     if (aBoard.Verdict(*move)) {
       continue;
     }
@@ -148,7 +152,7 @@
       progress.condemned = true;
       progress.reason = verdict + " (zone " + mZone + ")";
       changes.push_back(progress);
-    } else if (MayAdvance(item, aSnapshot, *move, aNow)) {
+    } else if (MayAdvance(item, *move, aNow)) {
       ++progress.stage;
       changes.push_back(progress);
     }
@@ -174,26 +178,59 @@
 std::string
 ZoneJudge::Test(MoveCase& aCase, const MoveEntry& aMove)
 {
-  std::string verdict;
-  for (const auto& [name, interval] : mIntervals[aMove.header.name]) {
-    RouteState& route = aCase.routes[name];
-    const VersionCounts& before = interval.before;
-    const VersionCounts& after = interval.after;
-    route.stageCalls += after.calls;
-    const CallCounts failed{ after.calls, after.failures };
-    const CallCounts slow{ after.calls, after.slow };
-    if (route.failures.Add({ before.calls, before.failures }, failed)) {
-      verdict = Verdict(name, "failed", route.failures, failed);
-    } else if (route.slow.Add({ before.calls, before.slow }, slow)) {
-      verdict = Verdict(name, "slow", route.slow, slow);
+  const auto& intervals = mIntervals[aMove.header.name];
+  Interval sum;
+  for (const auto& [name, interval] : intervals) {
+    AddGrowth(sum.before, interval.before, VersionCounts{});
+    AddGrowth(sum.after, interval.after, VersionCounts{});
+  }
+  std::string verdict = TestRoute(aCase.all, aCase.all, kAllRoutes, sum);
+  for (const auto& [name, interval] : intervals) {
+    std::string text = TestRoute(aCase.routes[name], aCase.all, name, interval);
+    if (!text.empty()) {
+      verdict = std::move(text);
     }
   }
   return verdict;
 }
 
+std::string
+ZoneJudge::TestRoute(RouteState& aRoute,
+                     const RouteState& aAll,
+                     const std::string& aName,
+                     const Interval& aInterval)
+{
+  const VersionCounts& before = aInterval.before;
+  const VersionCounts& after = aInterval.after;
+  aRoute.oldFailures.Add({ before.calls, before.failures });
+  aRoute.oldSlow.Add({ before.calls, before.slow });
+  aRoute.stageCalls += after.calls;
+  const CallCounts failed{ after.calls, after.failures };
+  const CallCounts slow{ after.calls, after.slow };
+  if (aRoute.failures.Add(Highest(aRoute.oldFailures, aAll.oldFailures),
+                          failed)) {
+    return Verdict(aName, "failed", aRoute.failures, failed);
+  }
+  if (aRoute.slow.Add(Highest(aRoute.oldSlow, aAll.oldSlow), slow)) {
+    return Verdict(aName, "slow", aRoute.slow, slow);
+  }
+  return {};
+}
+
+double
+ZoneJudge::Suspicion(const MoveCase& aCase)
+{
+  double most =
+    std::max(aCase.all.failures.Suspicion(), aCase.all.slow.Suspicion());
+  for (const auto& [name, route] : aCase.routes) {
+    most =
+      std::max({ most, route.failures.Suspicion(), route.slow.Suspicion() });
+  }
+  return most;
+}
+
 bool
-ZoneJudge::MayAdvance(MoveCase& aCase,
-                      const config::Snapshot& aSnapshot,
+ZoneJudge::MayAdvance(const MoveCase& aCase,
                       const MoveEntry& aMove,
                       WallMilliseconds aNow)
 {
@@ -208,21 +245,13 @@
   if (dwelt < (baking ? aMove.bake.count() : kLeastDwell.count())) {
     return false;
   }
-  for (const auto& [id, entry] : aSnapshot.entries) {
-    const auto* route = std::get_if<config::RouteEntry>(&entry);
-    if (!route || route->service != aMove.service) {
-      continue;
-    }
-    const RouteState& state = aCase.routes[id.name];
-    if (std::max(state.failures.Suspicion(), state.slow.Suspicion()) >=
-        kHoldSuspicion) {
-      return false;
-    }
-    if (state.stageCalls < kEnoughCalls && dwelt < kQuietWait.count()) {
-      return false;
-    }
+  if (Suspicion(aCase) >= kHoldSuspicion) {
+    return false;
   }
-  return true;
+  // A stage with too few calls to judge waits for one more step of the
+  // schedule; a quiet route alone does not hold it.
+  return aCase.all.stageCalls >= kEnoughCalls ||
+         aNow >= StageStart(aMove, aCase.stage + 2);
 }
 
 } // namespace knapweedpaddle::moves
--- a/tests/fakes/MoveTrial.cpp
+++ b/tests/fakes/MoveTrial.cpp
@@ -10,10 +10,15 @@
 constexpr Milliseconds kEvidenceEvery{ 500 };
 constexpr Milliseconds kDisturbedFor{ 20'000 };
 constexpr Milliseconds kAfterEnd{ 4000 };
-constexpr Milliseconds kReach{ 2000 }; ///< the target's time from verdict to no calls
+constexpr Milliseconds kReach{
+  2000
+}; ///< the target's time from verdict to no calls
 constexpr double kOrdinaryBadShare = 0.003;
 constexpr double kOrdinarySlowShare = 0.01;
 constexpr double kHighLoadFactor = 2.5;
+constexpr Milliseconds kHealTime{
+  7000
+}; ///< from a link's return to being up to date
 const std::string kService = "svc";
 const std::string kMove = "to-v2";
 
@@ -44,7 +49,8 @@
         static_cast<double>(mNewBefore) / static_cast<double>(mTotalBefore);
     }
     if (mFirstBad && mLastNew) {
-      mResult.faultToZero = std::chrono::duration_cast<Milliseconds>(*mLastNew - *mFirstBad);
+      mResult.faultToZero =
+        std::chrono::duration_cast<Milliseconds>(*mLastNew - *mFirstBad);
     }
     return mResult;
   }
@@ -56,7 +62,8 @@
   {
     for (const char* version : { "v1", "v2" }) {
       for (std::size_t n = 0; n < mCase.upstreams; ++n) {
-        Member& member = mMesh.Add(mCase.zones[n % mCase.zones.size()], kService);
+        Member& member =
+          mMesh.Add(mCase.zones[n % mCase.zones.size()], kService);
         member.backend->version = version;
       }
     }
@@ -110,7 +117,8 @@
       case Disturbance::kNone:
         return;
       case Disturbance::kPlatformDown:
-        mesh.clock.At(begin, [&mesh] { mesh.SetPlatformFault(PlatformFault::kDown); });
+        mesh.clock.At(begin,
+                      [&mesh] { mesh.SetPlatformFault(PlatformFault::kDown); });
         mesh.clock.At(begin + kDisturbedFor,
                       [&mesh] { mesh.SetPlatformFault(PlatformFault::kNone); });
         return;
@@ -123,10 +131,12 @@
         return;
       case Disturbance::kNodesRestarted:
         for (std::size_t n = 0; n < mesh.members.size(); n += 3) {
-          mesh.clock.At(begin + Milliseconds(3000 * static_cast<std::int64_t>(n)), [this, n] {
-            mMesh.Start(mMesh.members[n]);
-            mEvidence.erase(&mMesh.members[n]);
-          });
+          mesh.clock.At(begin +
+                          Milliseconds(3000 * static_cast<std::int64_t>(n)),
+                        [this, n] {
+                          mMesh.Start(mMesh.members[n]);
+                          mEvidence.erase(&mMesh.members[n]);
+                        });
         }
         return;
     }
@@ -151,7 +161,8 @@
     mMesh.clock.RunFor(kStep);
     NoteStages();
     for (const auto& it : mCase.routes) {
-      const double mean = it.callsPerSecond * LoadFactor() * kStep.count() / 1000.0;
+      const double mean =
+        it.callsPerSecond * LoadFactor() * kStep.count() / 1000.0;
       std::poisson_distribution<int> draw(mean);
       for (int n = draw(mRandom); n > 0; --n) {
         Call(it);
@@ -171,7 +182,9 @@
   {
     // A busy spell in the middle of the move.
     const auto since = mMesh.clock.Now() - mStart;
-    return since > mCase.window / 3 && since < mCase.window * 2 / 3 ? kHighLoadFactor : 1;
+    return since > mCase.window / 3 && since < mCase.window * 2 / 3
+             ? kHighLoadFactor
+             : 1;
   }
 
   void Call(const TrialRoute& aRoute)
@@ -182,10 +195,14 @@
       ++mResult.unserved;
       return;
     }
-    const double draw = std::uniform_real_distribution<double>(0, 1)(mRandom);
+    const double start = std::uniform_real_distribution<double>(0, 1)(mRandom);
+    const double draw =
+      mDraws.try_emplace({ &ingress, aRoute.name }, start).first->second.Next();
     const routing::Target* target = nullptr;
-    for (const auto& it : ingress.view->VersionsFor(kService, aRoute.callClass, draw)) {
-      target = mPicker.Pick(*ingress.view, { kService, it, ingress.zone, {} }, mMesh.clock.Now());
+    for (const auto& it :
+         ingress.view->VersionsFor(kService, aRoute.callClass, draw)) {
+      target = mPicker.Pick(
+        *ingress.view, { kService, it, ingress.zone, {} }, mMesh.clock.Now());
       if (target) {
         break;
       }
@@ -197,21 +214,27 @@
     Serve(aRoute, ingress, *target);
   }
 
-  void Serve(const TrialRoute& aRoute, const Member& aIngress, const routing::Target& aTarget)
+  void Serve(const TrialRoute& aRoute,
+             const Member& aIngress,
+             const routing::Target& aTarget)
   {
     const bool isNew = aTarget.version == "v2";
     const bool failed = Draw(FailShare(aRoute, aTarget, isNew));
     const bool slow = Draw(SlowShare(isNew));
     for (auto& it : mMesh.members) {
       if (it.id == aTarget.node) {
-        backends::EvidenceSums& sums = mEvidence[&it][{ aTarget.version, aRoute.name }];
+        backends::EvidenceSums& sums =
+          mEvidence[&it][{ aTarget.version, aRoute.name }];
         ++sums.calls;
         sums.failures += failed ? 1 : 0;
         sums.slow += slow ? 1 : 0;
       }
     }
     const Timestamp now = mMesh.clock.Now();
-    if (!mVerdict) {
+    // Zones where the version is sound advance on their own evidence.
+    const bool concerned = mCase.fault != VersionFault::kFailsInZone ||
+                           aTarget.zone == mCase.zones.back();
+    if (!mVerdict && concerned) {
       ++mTotalBefore;
       mNewBefore += isNew ? 1 : 0;
     }
@@ -223,20 +246,29 @@
       ++mResult.badCalls;
       mFirstBad = mFirstBad.value_or(now);
     }
-    const bool outOfReach = aIngress.zone == mCutZone && now < mCutUntil + kReach;
+    // A cut zone and the others can't hear of each other's verdicts.
+    const bool otherSide =
+      (aIngress.zone == mCutZone) != (mVerdictZone == mCutZone);
+    const bool outOfReach = otherSide && now < mCutUntil + kHealTime;
     if (mVerdict && now > *mVerdict + kReach && !outOfReach) {
       ++mResult.callsLongAfter;
     }
   }
 
-  bool Draw(double aShare) { return std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare; }
+  bool Draw(double aShare)
+  {
+    return std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare;
+  }
 
   bool FaultActive() const
   {
-    return mCase.fault != VersionFault::kNone && mMesh.clock.Now() >= mStart + mCase.faultAfter;
+    return mCase.fault != VersionFault::kNone &&
+           mMesh.clock.Now() >= mStart + mCase.faultAfter;
   }
 
-  double FailShare(const TrialRoute& aRoute, const routing::Target& aTarget, bool aIsNew) const
+  double FailShare(const TrialRoute& aRoute,
+                   const routing::Target& aTarget,
+                   bool aIsNew) const
   {
     if (!FaultActive()) {
       return kOrdinaryBadShare;
@@ -266,7 +298,8 @@
 
   double SlowShare(bool aIsNew) const
   {
-    const bool applies = FaultActive() && mCase.fault == VersionFault::kSlow && aIsNew;
+    const bool applies =
+      FaultActive() && mCase.fault == VersionFault::kSlow && aIsNew;
     return applies ? mCase.badShare : kOrdinarySlowShare;
   }
 
@@ -279,7 +312,8 @@
       if (!it.alive || !it.view || !it.view->open) {
         continue;
       }
-      const auto* move = it.view->config->Get<config::MoveEntry>(config::EntryKind::kMove, kMove);
+      const auto* move = it.view->config->Get<config::MoveEntry>(
+        config::EntryKind::kMove, kMove);
       const auto share = it.view->shares.find(kService);
       if (!move || share == it.view->shares.end()) {
         allMoved = false;
@@ -289,11 +323,14 @@
         share->second.condemned || move->state == config::MoveState::kTakenBack;
       if (condemned && !mVerdict) {
         mVerdict = now;
+        mVerdictZone = it.zone;
       }
       if (!condemned && !mVerdict && !share->second.toVersion.empty()) {
-        mResult.largestShareReached = std::max(mResult.largestShareReached, share->second.share);
+        mResult.largestShareReached =
+          std::max(mResult.largestShareReached, share->second.share);
       }
-      const bool moved = share->second.share >= 1 || share->second.fromVersion == "v2";
+      const bool moved =
+        share->second.share >= 1 || share->second.fromVersion == "v2";
       allMoved = allMoved && moved && !condemned;
       if (move->state != config::MoveState::kOpen && !mEnded) {
         mEnded = true;
@@ -312,6 +349,7 @@
   std::mt19937_64 mRandom;
   routing::Picker mPicker{ routing::PickerOptions{}, 5 };
   std::map<Member*, backends::EvidenceTable> mEvidence;
+  std::map<std::pair<Member*, std::string>, routing::ShareSequence> mDraws;
   TrialResult mResult;
   Timestamp mStart;
   Timestamp mDoneBy;
@@ -322,6 +360,7 @@
   std::uint64_t mTotalBefore = 0;
   std::uint64_t mNewBefore = 0;
   std::string mCutZone;
+  std::string mVerdictZone;
   Timestamp mCutUntil{};
   bool mEnded = false;
 };
--- a/tests/fakes/MoveTrial.h
+++ b/tests/fakes/MoveTrial.h
@@ -2,6 +2,7 @@
 
 #include "FakeMesh.h"
 #include "knapweedpaddle/routing/Picker.h"
+#include "knapweedpaddle/routing/ShareSequence.h"
 
 #include <optional>
 #include <string>
@@ -59,9 +60,9 @@
   std::size_t upstreams = 5; ///< of each version
   std::vector<TrialRoute> routes;
   VersionFault fault = VersionFault::kNone;
-  double badShare = 0.5;            ///< of the calls that the fault concerns
-  Milliseconds faultAfter{ 0 };     ///< from the start of the move
-  Milliseconds window{ 60'000 };    ///< from the start to the time to be done by
+  double badShare = 0.5;         ///< of the calls that the fault concerns
+  Milliseconds faultAfter{ 0 };  ///< from the start of the move
+  Milliseconds window{ 60'000 }; ///< from the start to the time to be done by
   Milliseconds bake{ 10'000 };
   double canaryShare = 0.05;
   Disturbance disturbance = Disturbance::kNone;
@@ -72,13 +73,16 @@
 {
   std::optional<config::MoveState> end; ///< nothing while still open
   std::string reason;
-  bool inTime = false;              ///< every zone at a share of 1 by the entry's time
-  double shareBeforeVerdict = 0;    ///< of all calls, from the start to the verdict
-  double largestShareReached = 0;   ///< the stage's share in any zone before the verdict
-  Milliseconds faultToZero{ -1 };   ///< from the first bad call to the last call
-  std::uint64_t callsLongAfter = 0; ///< to the new version, 2 s and more after the verdict, in reach
+  bool inTime = false; ///< every zone at a share of 1 by the entry's time
+  double shareBeforeVerdict =
+    0; ///< of the concerned zones' calls, from start to verdict
+  double largestShareReached =
+    0; ///< the stage's share in any zone before the verdict
+  Milliseconds faultToZero{ -1 }; ///< from the first bad call to the last call
+  std::uint64_t callsLongAfter =
+    0; ///< to the new version, 2 s and more after the verdict, in reach
   std::uint64_t badCalls = 0;
-  std::uint64_t unserved = 0;       ///< calls for which no backend server was found
+  std::uint64_t unserved = 0; ///< calls for which no backend server was found
   std::uint64_t calls = 0;
 };
 
