Try the promises on real processes

Six machines in three zones, signals, stand-in faults, and callers whose histories are checked against the backend servers' records (P4 to P9).

--- /dev/null
+++ b/tests/processes/ProcessTest.cpp
@@ -0,0 +1,223 @@
+// Real processes, signals and sockets: the platform stand-in, six machines in
+// three zones, and callers whose histories are compared with the backend
+// servers' records.
+
+#include "CallHistory.h"
+#include "knapweedpaddle/common/Time.h"
+#include "proof/ProofLog.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+using namespace knapweedpaddle;
+using namespace knapweedpaddle::processes;
+
+namespace {
+
+constexpr int kConvergenceMs = 7000; ///< the target's time for a change to be in force
+constexpr int kStopMs = 11'000;      ///< drain timeout and a second
+const std::vector<std::string> kZones{ "regina-yard", "saskatoon-hall", "lethbridge-vault" };
+const std::string kCatalogue = std::string(KNAPWEED_SOURCE_DIR) + "/examples/coulee-chime.json";
+
+void
+StartMachines(TestMesh& aMesh)
+{
+  for (std::size_t n = 0; n < 6; ++n) {
+    aMesh.Add(kZones[n % 3], n % 2 == 0 ? "timetable" : "dispatch", "v1");
+  }
+  REQUIRE(aMesh.AwaitVersion(0, 10'000));
+  REQUIRE(aMesh.Apply(*aMesh.machines[0], kCatalogue) == 0);
+  REQUIRE(aMesh.AwaitVersion(1, kConvergenceMs));
+  REQUIRE(aMesh.AwaitServers(6, 10'000));
+}
+
+void
+Sleep(int aMs)
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds(aMs));
+}
+
+void
+CheckHistory(CallHistory& aHistory, const std::string& aFault)
+{
+  const HistoryFaults faults = aHistory.Check();
+  WARN(aFault << ": " << faults.calls << " calls, " << faults.answered << " answered, "
+              << faults.notRun << " not-run, " << faults.unknown << " unknown");
+  CHECK(faults.answered > 0);
+  CHECK(faults.notWhole == 0);
+  CHECK(faults.falseNotRun == 0);
+  CHECK(faults.doubles == 0);
+  proof::Note("P5", aFault, 1, faults.notWhole > 0 ? 1 : 0, "processes");
+  proof::Note("P6", aFault, 1, faults.falseNotRun > 0 ? 1 : 0, "processes");
+  proof::Note("P7", aFault, 1, faults.doubles > 0 ? 1 : 0, "processes");
+}
+
+} // namespace
+
+TEST_CASE("the whole path, and a graceful stop of everything", "[processes]")
+{
+  TestMesh mesh(17000);
+  StartMachines(mesh);
+  const std::string base = "http://" + mesh.machines[0]->CallerAddress();
+  const Answer lookup = Ask("GET", base + "/timetable/today");
+  CHECK(lookup.status == 200);
+  CHECK(lookup.outcome == "answered");
+  // This VM's own backend server is another service, so the call takes two nodes.
+  const Answer check = Ask("GET", base + "/dispatch/status/bell-3");
+  CHECK(check.status == 200);
+  const Answer push = Ask("POST", base + "/dispatch/push/school-9", "ring");
+  CHECK(push.body.ends_with("echo=ring\n"));
+  CHECK(Ask("GET", base + "/nothing/here").outcome == "not-run");
+  CHECK(Ask("GET", base + "/timetable/x", "", { "Knapweed-Timeout-Ms: 0" }).outcome == "not-run");
+  CHECK(Ask("GET", base + "/timetable/x", "", { "Knapweed-Timeout-Ms: soon" }).status == 400);
+  CHECK(Ask("POST", base + "/-/v1/changes", "{}").status == 401);
+  CHECK(Ask("GET", base + "/-/metrics").body.find("knapweed_calls_total") != std::string::npos);
+
+  CallHistory history(mesh, 4);
+  Sleep(1000);
+  for (auto& it : mesh.machines) {
+    it->node->Signal(SIGTERM);
+  }
+  int graceful = 0;
+  for (auto& it : mesh.machines) {
+    graceful += it->node->Wait(kStopMs) == 0 ? 1 : 0;
+  }
+  CHECK(graceful == 6);
+  proof::Note("P9", "every node stopped under load", 6, 6 - graceful, "processes");
+  CheckHistory(history, "every node stopped under load");
+}
+
+TEST_CASE("a leaving server gets no new work", "[processes]")
+{
+  constexpr int kLeaveBoundMs = 3000;
+  TestMesh mesh(17100);
+  StartMachines(mesh);
+  CallHistory history(mesh, 4);
+  Sleep(1000);
+  Machine& leaving = *mesh.machines[2];
+  leaving.node->Signal(SIGTERM);
+  const auto left = std::chrono::system_clock::now();
+  CHECK(leaving.node->Wait(kStopMs) == 0);
+  Sleep(kLeaveBoundMs + 1000);
+  const auto bound = std::chrono::duration_cast<std::chrono::microseconds>(
+                       (left + std::chrono::milliseconds(kLeaveBoundMs)).time_since_epoch())
+                       .count();
+  std::size_t late = 0;
+  std::ifstream file(mesh.Folder() + "/calls-" + std::to_string(leaving.basePort));
+  for (std::string line; std::getline(file, line);) {
+    late += line.starts_with("start ") && std::stoll(line.substr(6)) > bound ? 1 : 0;
+  }
+  CHECK(late == 0);
+  proof::Note("P8", "node stopped under load", 1, late > 0 ? 1 : 0, "processes");
+  CheckHistory(history, "node stopped under load");
+}
+
+TEST_CASE("nodes are killed, paused and restarted under load", "[processes]")
+{
+  TestMesh mesh(17200);
+  StartMachines(mesh);
+  CallHistory history(mesh, 6);
+  Sleep(500);
+  mesh.machines[1]->node->Signal(SIGKILL);
+  mesh.machines[1]->node->Wait(1000);
+  mesh.machines[2]->node->Signal(SIGSTOP);
+  Sleep(3500);
+  mesh.machines[2]->node->Signal(SIGCONT);
+  mesh.StartNode(*mesh.machines[1]);
+  Sleep(1500);
+  // A herd: every node of a zone at once.
+  mesh.machines[0]->node->Signal(SIGKILL);
+  mesh.machines[3]->node->Signal(SIGKILL);
+  Sleep(500);
+  mesh.StartNode(*mesh.machines[0]);
+  mesh.StartNode(*mesh.machines[3]);
+  CHECK(mesh.AwaitVersion(1, kConvergenceMs));
+  Sleep(1000);
+  CheckHistory(history, "nodes killed, paused and restarted");
+}
+
+TEST_CASE("backend servers hang and die under load", "[processes]")
+{
+  TestMesh mesh(17300);
+  StartMachines(mesh);
+  CallHistory history(mesh, 6);
+  Sleep(500);
+  Ask("POST", "http://" + mesh.machines[0]->BackendAddress() + "/fault", R"({"hang":true})");
+  Ask("POST",
+      "http://" + mesh.machines[3]->BackendAddress() + "/fault",
+      R"({"die_unanswered":true})");
+  Sleep(2000);
+  mesh.StartBackend(*mesh.machines[3]);
+  mesh.machines[5]->backend->Signal(SIGSTOP);
+  Sleep(2500);
+  mesh.machines[5]->backend->Signal(SIGCONT);
+  Sleep(1000);
+  CheckHistory(history, "backend servers hang, die and pause");
+}
+
+TEST_CASE("the platform goes down, slow and silent under load", "[processes]")
+{
+  TestMesh mesh(17400);
+  StartMachines(mesh);
+  CallHistory history(mesh, 6);
+  Sleep(500);
+  for (const char* mode : { "down", "lose_answers", "slow" }) {
+    mesh.SetPlatformFault(mode, 700);
+    Sleep(2500);
+    mesh.SetPlatformFault("none");
+    Sleep(500);
+  }
+  const std::size_t before = history.Answered();
+  Sleep(1000);
+  CHECK(history.Answered() > before);
+  CheckHistory(history, "platform down, losing answers, slow");
+}
+
+TEST_CASE("a move to a good version ends in time and a bad one is taken back", "[processes]")
+{
+  TestMesh mesh(17500);
+  for (std::size_t n = 0; n < 6; ++n) {
+    mesh.Add(kZones[n % 3], "timetable", n < 3 ? "v1" : "v2");
+  }
+  REQUIRE(mesh.AwaitVersion(0, 10'000));
+  REQUIRE(mesh.Apply(*mesh.machines[0], kCatalogue) == 0);
+  REQUIRE(mesh.AwaitServers(6, 10'000));
+  const bool good = GENERATE(true, false);
+  if (!good) {
+    for (std::size_t n = 3; n < 6; ++n) {
+      Ask("POST",
+          "http://" + mesh.machines[n]->BackendAddress() + "/fault",
+          R"({"fail_share":0.7})");
+    }
+  }
+  CallHistory history(mesh, 12);
+  const std::string file = mesh.Folder() + "/move.json";
+  const auto now = WallNow();
+  std::ofstream(file) << nlohmann::json{ { "entries",
+                                           { { { "kind", "move" },
+                                               { "name", "timetable-v2" },
+                                               { "owner", "coulee" },
+                                               { "service", "timetable" },
+                                               { "from_version", "v1" },
+                                               { "to_version", "v2" },
+                                               { "start_at", now },
+                                               { "done_by", now + 30'000 },
+                                               { "canary_share", 0.05 },
+                                               { "bake_ms", 3000 } } } } };
+  Process move({ std::string(KNAPWEED_BUILD_DIR) + "/apps/knapweed",
+                 "--node=" + mesh.machines[1]->CallerAddress(),
+                 "--token=secret",
+                 "move",
+                 "start",
+                 file },
+               mesh.Folder() + "/move.log");
+  const int code = move.Wait(45'000);
+  CHECK(code == (good ? 0 : 6));
+  proof::Note("P4",
+              good ? "good version, real processes" : "bad version, real processes",
+              1,
+              code == (good ? 0 : 6) ? 0 : 1,
+              "processes");
+  history.Check();
+}
