Measure slopes, latency and footprint; spread only what is news

Cause: at 144 nodes and more an idle node still sent 738 bytes/s two minutes after the start: each node passed on every record that it had learned from a join answer, 16 times. Tables now carry a hash, differing tables sync, and what a join answer says is not passed on. Also: libcurl's handles are kept, and an owner admits a call without another turn of its loop. Ruled out: a lower retransmit limit, which loses news on lossy links.

--- /dev/null
+++ b/bench/MeasureSlopes.cpp
@@ -0,0 +1,143 @@
+// Measures how messages, bytes, convergence and platform use grow with the
+// number of nodes, on a simulated clock, and fits straight lines.
+
+#include "Fit.h"
+#include "fakes/FakeMesh.h"
+#include "knapweedpaddle/config/EntryCodec.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+
+using namespace knapweedpaddle;
+using namespace knapweedpaddle::fakes;
+
+namespace {
+
+constexpr double kTarget = 600;
+constexpr Milliseconds kIdle{ 20'000 };
+const std::vector<std::string> kZones{ "a1", "a2", "a3", "b1", "b2", "b3" };
+
+struct Sample
+{
+  double idleBytes = 0;     ///< sent, per node and second
+  double idleMessages = 0;  ///< datagrams sent, per node and second
+  double reads = 0;         ///< platform reads a second, whole mesh
+  double convergence = 0;   ///< s, slowest node of one change
+  double changeBytes = 0;   ///< sent per node for one change
+  double restartBytes = 0;  ///< sent by all nodes for one restart
+  double cpuMicroseconds = 0; ///< per node and second, fakes included
+  double joinBytes = 0;     ///< one join answer
+};
+
+double
+SentBytes(const FakeMesh& aMesh)
+{
+  double sum = 0;
+  for (const auto& it : aMesh.members) {
+    sum += static_cast<double>(it.sentBytes);
+  }
+  return sum;
+}
+
+double
+Messages(const FakeMesh& aMesh)
+{
+  double sum = 0;
+  for (const auto& it : aMesh.members) {
+    sum += static_cast<double>(it.messages);
+  }
+  return sum;
+}
+
+Sample
+MeasureSize(std::size_t aSize)
+{
+  FakeMesh mesh(5);
+  for (std::size_t n = 0; n < aSize; ++n) {
+    mesh.Add(kZones[n % kZones.size()], "service-" + std::to_string(n % 18));
+  }
+  mesh.StartAll();
+  mesh.clock.RunFor(Milliseconds(90'000));
+  mesh.Accept(mesh.members[0], "first", BasicEntries("v1"));
+  mesh.clock.RunFor(Milliseconds(30'000));
+
+  Sample sample;
+  const auto size = static_cast<double>(aSize);
+  const double seconds = std::chrono::duration<double>(kIdle).count();
+  const double idleBefore = SentBytes(mesh);
+  const double messagesBefore = Messages(mesh);
+  const auto readsBefore = mesh.shared.reads;
+  const std::clock_t cpuBefore = std::clock();
+  mesh.clock.RunFor(kIdle);
+  const double cpu = static_cast<double>(std::clock() - cpuBefore) / CLOCKS_PER_SEC;
+  const double idle = SentBytes(mesh) - idleBefore;
+  sample.idleBytes = idle / size / seconds;
+  sample.idleMessages = (Messages(mesh) - messagesBefore) / size / seconds;
+  sample.reads = static_cast<double>(mesh.shared.reads - readsBefore) / seconds;
+  sample.cpuMicroseconds = cpu * 1e6 / size / seconds;
+
+  auto entries = BasicEntries("v2");
+  for (auto& it : entries) {
+    config::HeaderOf(it).revision = 1;
+  }
+  const double changeBefore = SentBytes(mesh);
+  const Timestamp asked = mesh.clock.Now();
+  mesh.Accept(mesh.members[1], "second", entries);
+  mesh.clock.RunFor(Milliseconds(10'000));
+  sample.changeBytes = (SentBytes(mesh) - changeBefore) / size - sample.idleBytes * 10;
+  for (const auto& it : mesh.members) {
+    const double took = std::chrono::duration<double>(it.servedSince - asked).count();
+    sample.convergence = std::max(sample.convergence, mesh.AllServe(2) ? took : 99.0);
+  }
+
+  const double restartBefore = SentBytes(mesh);
+  mesh.Start(mesh.members[2]);
+  mesh.clock.RunFor(Milliseconds(60'000));
+  sample.restartBytes = SentBytes(mesh) - restartBefore - sample.idleBytes * size * 60;
+  nodes::JoinAnswer answer;
+  answer.members = mesh.members[0].core->Members().Everything();
+  sample.joinBytes = static_cast<double>(nodes::EncodeJoinAnswer(answer).size());
+  return sample;
+}
+
+void
+PrintLine(const char* aName,
+          const std::vector<std::size_t>& aSizes,
+          const std::vector<Sample>& aSamples,
+          double Sample::*aField)
+{
+  std::vector<bench::Point> points;
+  std::printf("| %s |", aName);
+  for (std::size_t n = 0; n < aSizes.size(); ++n) {
+    points.push_back({ static_cast<double>(aSizes[n]), aSamples[n].*aField });
+    std::printf(" %.4g |", aSamples[n].*aField);
+  }
+  const bench::Line line = bench::Fit(points);
+  std::printf(
+    " %.4g | %.4g | %.3g | %.4g |\n", line.slope, line.constant, line.residual, line.At(kTarget));
+}
+
+} // namespace
+
+int
+main()
+{
+  const std::vector<std::size_t> sizes{ 36, 72, 144, 288, 600 };
+  std::vector<Sample> samples;
+  std::printf("| figure |");
+  for (const auto it : sizes) {
+    samples.push_back(MeasureSize(it));
+    std::printf(" %zu nodes |", it);
+  }
+  std::printf(" slope | constant | residual | line at 600 |\n|---|---|---|---|---|---|---|---|---|---|\n");
+  PrintLine("bytes sent when idle, per node and s", sizes, samples, &Sample::idleBytes);
+  PrintLine("datagrams sent when idle, per node and s", sizes, samples, &Sample::idleMessages);
+  PrintLine("platform reads when idle, per s", sizes, samples, &Sample::reads);
+  PrintLine("slowest node of one change, s", sizes, samples, &Sample::convergence);
+  PrintLine("bytes sent for one change, per node", sizes, samples, &Sample::changeBytes);
+  PrintLine("bytes sent for one restart, all nodes", sizes, samples, &Sample::restartBytes);
+  PrintLine("processor time when idle, us per node and s", sizes, samples, &Sample::cpuMicroseconds);
+  PrintLine("bytes of one join answer", sizes, samples, &Sample::joinBytes);
+  return 0;
+}
--- a/include/knapweedpaddle/nodes/GossipMessage.h
+++ b/include/knapweedpaddle/nodes/GossipMessage.h
@@ -30,6 +30,7 @@
   NodeId target =
     kNoNode; ///< whom a kPingRequest concerns, or who answered a relayed ping
   std::uint64_t configVersion = 0;
+  std::uint64_t tableHash = 0; ///< of the sender's member table
   std::vector<MemberUpdate> updates;
   std::vector<MoveProgress> moves;
 };
--- a/include/knapweedpaddle/nodes/Membership.h
+++ b/include/knapweedpaddle/nodes/Membership.h
@@ -18,13 +18,15 @@
   std::uint32_t suspicionPeriods =
     3; ///< probe periods per decimal digit of the size
   std::uint32_t retransmitFactor = 4; ///< sends of one update per decimal digit
-  std::size_t maxUpdates = 6;         ///< member updates in one datagram
+  std::size_t maxUpdates = 12;        ///< member updates in one datagram
   std::uint32_t deadProbeEvery =
     5; ///< probe periods between pings of a dead member
   Milliseconds deadKept{ 3 * 3600 *
                          1000 };      ///< a region's outage lasts an hour or so
   std::size_t rememberedLimit = 4096; ///< addresses whose version is remembered
   std::uint32_t hintFanout = 4;       ///< members told of a new version at once
+  std::uint32_t mismatchesToSync =
+    4; ///< messages in a row from nodes with other tables
 };
 
 /** A member as this node sees it. */
@@ -66,8 +68,14 @@
   /** Handles a message; returns what to send because of it. */
   std::vector<Datagram> Receive(const GossipMessage& aMessage, Timestamp aNow);
 
-  /** Merges one update, as from a join answer. */
-  void Learn(const MemberUpdate& aUpdate, Timestamp aNow);
+  /**
+   * Merges what a join answer says. It is not passed on: the joining node's
+   * own record spreads by itself, and tables that differ are noticed.
+   */
+  void Learn(const std::vector<MemberUpdate>& aUpdates, Timestamp aNow);
+
+  /** Merges one update and passes it on when it is news. */
+  void LearnAndSpread(const MemberUpdate& aUpdate, Timestamp aNow);
 
   /** Returns messages that tell some random members of this node's version. */
   std::vector<Datagram> VersionHints();
@@ -120,6 +128,8 @@
   void ChangeLiveness(Member& aMember, Liveness aLiveness, Timestamp aNow);
   void NoteAlive(NodeId aNode, Timestamp aNow);
   void Remember(NodeId aNode, std::uint64_t aVersion);
+  void CompareTables(std::uint64_t aHash);
+  std::uint64_t TableHash();
   void StartProbe(Timestamp aNow, std::vector<Datagram>& aOut);
   void AskOthers(std::vector<Datagram>& aOut);
   void ProbeDead(std::vector<Datagram>& aOut);
@@ -144,6 +154,9 @@
   std::uint32_t mSequence = 0;
   std::uint32_t mPeriods = 0;
   std::uint64_t mChanges = 0;
+  std::uint64_t mHash = 0; ///< of the table as of mHashedAt
+  std::uint64_t mHashedAt = ~0ULL;
+  std::uint32_t mMismatches = 0;
   bool mSyncDue = false;
 };
 
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -85,8 +85,7 @@
     running.call = std::move(aCall);
     running.callback = std::move(aCallback);
     running.received = Now();
-    // Later, so that the callback never runs from inside Run().
-    mServices.loop.Post([this, id] { Admit(id); });
+    Admit(id);
     return id;
   }
 
@@ -309,13 +308,14 @@
     sums.slow += aElapsed > aCall.slowAfter ? 1 : 0;
   }
 
+  /** Later, so that the callback never runs from inside Run(). */
   void Refuse(RunId aRun, std::string aReason)
   {
-    const auto it = mRunning.find(aRun);
-    if (it == mRunning.end()) {
-      return;
-    }
-    Finish(aRun, NotRun(it->second.call, std::move(aReason)));
+    mServices.loop.Post([this, aRun, reason = std::move(aReason)] {
+      if (const auto it = mRunning.find(aRun); it != mRunning.end()) {
+        Finish(aRun, NotRun(it->second.call, reason));
+      }
+    });
   }
 
   void Finish(RunId aRun, CallResult aResult)
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -16,7 +16,8 @@
 constexpr Milliseconds kFirstRetry{ 500 };
 constexpr Milliseconds kLongestRetry{ 8000 };
 constexpr Milliseconds kSyncEvery{ 300'000 };
-constexpr Milliseconds kSyncAfterReturn{ 30'000 };
+constexpr std::int64_t kSyncSpreadPerMemberMs =
+  100; ///< bounds the bytes of many syncs
 
 } // namespace
 
@@ -54,8 +55,11 @@
   Send(mMembers.Tick(now));
   if (mMembers.TakeSyncDue()) {
     // Spread over the members of both sides of a healed partition.
-    const auto delay = Milliseconds(static_cast<std::int64_t>(
-      mRandom() % static_cast<std::uint64_t>(kSyncAfterReturn.count())));
+    const auto spread =
+      static_cast<std::int64_t>(mMembers.Members().size() + 1) *
+      kSyncSpreadPerMemberMs;
+    const Milliseconds delay(
+      std::uniform_int_distribution<std::int64_t>(0, spread)(mRandom));
     mNextSync = std::min(mNextSync, now + delay);
   }
   if (now >= mNextSync) {
@@ -75,7 +79,7 @@
 {
   nodes::JoinAnswer answer;
   answer.rememberedVersion = mMembers.RememberedVersion(aPeer.record.node);
-  mMembers.Learn(aPeer, mServices.scheduler.Now());
+  mMembers.LearnAndSpread(aPeer, mServices.scheduler.Now());
   answer.members = mMembers.Everything();
   return mServices.completeAnswer(answer);
 }
@@ -183,9 +187,7 @@
       [this](const std::optional<nodes::JoinAnswer>& aAnswer) {
         if (aAnswer) {
           mRoundAnswered = true;
-          for (const auto& update : aAnswer->members) {
-            mMembers.Learn(update, mServices.scheduler.Now());
-          }
+          mMembers.Learn(aAnswer->members, mServices.scheduler.Now());
           mServices.onJoinAnswer(*aAnswer);
         }
         if (mOutstanding > 0 && --mOutstanding == 0) {
--- a/src/nodes/GossipCodec.cpp
+++ b/src/nodes/GossipCodec.cpp
@@ -96,6 +96,7 @@
   out.set_sender(static_cast<std::uint64_t>(aMessage.sender));
   out.set_target(static_cast<std::uint64_t>(aMessage.target));
   out.set_config_version(aMessage.configVersion);
+  out.set_table_hash(aMessage.tableHash);
   for (const auto& it : aMessage.updates) {
     ToWire(it, *out.add_updates());
   }
@@ -122,6 +123,7 @@
   message.sender = NodeId{ in.sender() };
   message.target = NodeId{ in.target() };
   message.configVersion = in.config_version();
+  message.tableHash = in.table_hash();
   if (!ReadUpdates(in.updates(), message.updates)) {
     return std::nullopt;
   }
--- a/src/nodes/Membership.cpp
+++ b/src/nodes/Membership.cpp
@@ -1,7 +1,9 @@
 #include "knapweedpaddle/nodes/Membership.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
+#include <xxhash.h>
 
 namespace knapweedpaddle::nodes {
 
@@ -68,10 +70,11 @@
     return out;
   }
   for (const auto& it : aMessage.updates) {
-    Learn(it, aNow);
+    LearnAndSpread(it, aNow);
   }
   Remember(aMessage.sender, aMessage.configVersion);
   NoteAlive(aMessage.sender, aNow);
+  CompareTables(aMessage.tableHash);
 
   switch (aMessage.kind) {
     case GossipKind::kPing:
@@ -111,7 +114,19 @@
 }
 
 void
-Membership::Learn(const MemberUpdate& aUpdate, Timestamp aNow)
+Membership::Learn(const std::vector<MemberUpdate>& aUpdates, Timestamp aNow)
+{
+  const auto spreadingBefore = mSpreading;
+  for (const auto& it : aUpdates) {
+    LearnAndSpread(it, aNow);
+  }
+  std::erase_if(mSpreading, [&](const auto& aItem) {
+    return aItem.first != mSelf.node && !spreadingBefore.contains(aItem.first);
+  });
+}
+
+void
+Membership::LearnAndSpread(const MemberUpdate& aUpdate, Timestamp aNow)
 {
   const MemberRecord& record = aUpdate.record;
   if (record.node == kNoNode) {
@@ -201,6 +216,7 @@
   message.sequence = aSequence;
   message.sender = mSelf.node;
   message.configVersion = mConfigVersion;
+  message.tableHash = TableHash();
   AttachUpdates(message);
   return message;
 }
@@ -214,7 +230,7 @@
     queue.emplace_back(sends, id);
   }
   std::ranges::sort(queue);
-  const std::uint32_t limit = mOptions.retransmitFactor * SizeDigits();
+  const std::uint32_t limit = mOptions.retransmitFactor * (SizeDigits() + 1);
   for (const auto& [sends, id] : queue) {
     if (aMessage.updates.size() == mOptions.maxUpdates) {
       break;
@@ -287,6 +303,44 @@
   version = std::max(version, aVersion);
 }
 
+void
+Membership::CompareTables(std::uint64_t aHash)
+{
+  if (aHash == TableHash() || !mSpreading.empty()) {
+    mMismatches = 0;
+    return;
+  }
+  if (++mMismatches >= mOptions.mismatchesToSync) {
+    mMismatches = 0;
+    mSyncDue = true;
+  }
+}
+
+std::uint64_t
+Membership::TableHash()
+{
+  if (mHashedAt == mChanges) {
+    return mHash;
+  }
+  const auto hashOf = [](const MemberRecord& aRecord) {
+    const std::array<std::uint64_t, 3> words{ static_cast<std::uint64_t>(
+                                                aRecord.node),
+                                              aRecord.incarnation,
+                                              aRecord.sequence };
+    return XXH3_64bits(words.data(), sizeof(words));
+  };
+  std::uint64_t hash = hashOf(mSelf);
+  for (const auto& [id, member] : mMembers) {
+    // The dead are forgotten at different times, so they don't count.
+    if (member.liveness != Liveness::kDead) {
+      hash ^= hashOf(member.record);
+    }
+  }
+  mHash = hash;
+  mHashedAt = mChanges;
+  return hash;
+}
+
 void
 Membership::StartProbe(Timestamp aNow, std::vector<Datagram>& aOut)
 {
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr std::size_t kMaxIdleHandles = 32;
 constexpr std::size_t kMaxBodyBytes = 16UL * 1024 * 1024;
 
 void
@@ -68,11 +69,7 @@
     HttpResponse response;
     Callback callback;
 
-    ~Transfer()
-    {
-      curl_slist_free_all(headers);
-      curl_easy_cleanup(handle);
-    }
+    ~Transfer() { curl_slist_free_all(headers); }
   };
 
   struct SocketEvent
@@ -99,6 +96,12 @@
     for (auto& [id, transfer] : mTransfers) {
       curl_multi_remove_handle(mMulti, transfer->handle);
     }
+    for (auto& [id, transfer] : mTransfers) {
+      curl_easy_cleanup(transfer->handle);
+    }
+    for (CURL* it : mIdle) {
+      curl_easy_cleanup(it);
+    }
     mTransfers.clear();
     curl_multi_cleanup(mMulti);
     event_free(mTimer);
@@ -122,14 +125,36 @@
   {
     if (const auto it = mTransfers.find(aId); it != mTransfers.end()) {
       curl_multi_remove_handle(mMulti, it->second->handle);
+      Recycle(it->second->handle);
       mTransfers.erase(it);
     }
   }
 
 private:
+  CURL* TakeHandle()
+  {
+    if (mIdle.empty()) {
+      return curl_easy_init();
+    }
+    CURL* handle = mIdle.back();
+    mIdle.pop_back();
+    return handle;
+  }
+
+  /** Keeps a handle for the next request, which saves most of its set-up. */
+  void Recycle(CURL* aHandle)
+  {
+    if (mIdle.size() >= kMaxIdleHandles) {
+      curl_easy_cleanup(aHandle);
+      return;
+    }
+    curl_easy_reset(aHandle);
+    mIdle.push_back(aHandle);
+  }
+
   void Prepare(Transfer& aTransfer)
   {
-    CURL* handle = curl_easy_init();
+    CURL* handle = TakeHandle();
     aTransfer.handle = handle;
     const HttpRequest& request = aTransfer.request;
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
@@ -188,6 +213,7 @@
     const auto it = mTransfers.find(transfer->id);
     const std::unique_ptr<Transfer> owned = std::move(it->second);
     mTransfers.erase(it);
+    Recycle(aHandle);
     owned->response.status = static_cast<int>(status);
     if (aResult == CURLE_OK) {
       owned->callback(std::move(owned->response), HttpReason{});
@@ -312,6 +338,7 @@
   CURLM* mMulti = nullptr;
   event* mTimer = nullptr;
   RequestId mLastId = 0;
+  std::vector<CURL*> mIdle;
   std::unordered_map<RequestId, std::unique_ptr<Transfer>> mTransfers;
 };
 
--- a/tests/processes/Processes.cpp
+++ b/tests/processes/Processes.cpp
@@ -32,7 +32,8 @@
 bool
 Await(int aTimeoutMs, Condition aCondition)
 {
-  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(aTimeoutMs);
+  const auto until =
+    std::chrono::steady_clock::now() + std::chrono::milliseconds(aTimeoutMs);
   while (!aCondition()) {
     if (std::chrono::steady_clock::now() > until) {
       return false;
@@ -44,7 +45,8 @@
 
 } // namespace
 
-Process::Process(const std::vector<std::string>& aCommand, const std::string& aLog)
+Process::Process(const std::vector<std::string>& aCommand,
+                 const std::string& aLog)
 {
   std::vector<char*> arguments;
   for (const auto& it : aCommand) {
@@ -56,7 +58,9 @@
   posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  if (posix_spawn(&mId, arguments[0], &actions, nullptr, arguments.data(), environ) != 0) {
+  if (posix_spawn(
+        &mId, arguments[0], &actions, nullptr, arguments.data(), environ) !=
+      0) {
     mId = -1;
   }
   posix_spawn_file_actions_destroy(&actions);
@@ -82,8 +86,9 @@
 Process::Wait(int aTimeoutMs)
 {
   int status = 0;
-  const bool ended =
-    Await(aTimeoutMs, [&] { return mId <= 0 || waitpid(mId, &status, WNOHANG) == mId; });
+  const bool ended = Await(aTimeoutMs, [&] {
+    return mId <= 0 || waitpid(mId, &status, WNOHANG) == mId;
+  });
   if (!ended) {
     return -2;
   }
@@ -112,7 +117,8 @@
   }
   Answer answer;
   client.Send(request,
-              [&](const std::optional<runtime::HttpResponse>& aResponse, const runtime::HttpReason&) {
+              [&](const std::optional<runtime::HttpResponse>& aResponse,
+                  const runtime::HttpReason&) {
                 if (aResponse) {
                   answer.status = aResponse->status;
                   answer.body = aResponse->body;
@@ -129,7 +135,8 @@
   : mBasePort(aBasePort)
   , mPlatformAddress("127.0.0.1:" + std::to_string(aBasePort))
 {
-  std::string pattern = std::filesystem::temp_directory_path() / "knapweed-test-XXXXXX";
+  std::string pattern =
+    std::filesystem::temp_directory_path() / "knapweed-test-XXXXXX";
   mFolder = mkdtemp(pattern.data());
   mPlatform = std::make_unique<Process>(
     std::vector<std::string>{ Program("tests/platform_standin"),
@@ -148,7 +155,9 @@
 }
 
 Machine&
-TestMesh::Add(const std::string& aZone, const std::string& aService, const std::string& aVersion)
+TestMesh::Add(const std::string& aZone,
+              const std::string& aService,
+              const std::string& aVersion)
 {
   auto machine = std::make_unique<Machine>();
   machine->zone = aZone;
@@ -180,14 +189,16 @@
 TestMesh::StartBackend(Machine& aMachine)
 {
   const int port = aMachine.basePort;
+  std::vector<std::string> command{ Program("tests/backend_standin"),
+                                    "--port=" + std::to_string(port + 3),
+                                    "--node=" + aMachine.CallerAddress(),
+                                    "--service=" + aMachine.service,
+                                    "--version=" + aMachine.version,
+                                    "--log=" + mFolder + "/calls-" +
+                                      std::to_string(port) };
+  command.insert(command.end(), backendFlags.begin(), backendFlags.end());
   aMachine.backend = std::make_unique<Process>(
-    std::vector<std::string>{ Program("tests/backend_standin"),
-                              "--port=" + std::to_string(port + 3),
-                              "--node=" + aMachine.CallerAddress(),
-                              "--service=" + aMachine.service,
-                              "--version=" + aMachine.version,
-                              "--log=" + mFolder + "/calls-" + std::to_string(port) },
-    mFolder + "/backend-" + std::to_string(port) + ".log");
+    command, mFolder + "/backend-" + std::to_string(port) + ".log");
 }
 
 bool
@@ -198,9 +209,11 @@
       if (!it->node || it->node->Id() <= 0) {
         continue;
       }
-      const Answer answer = Ask("GET", "http://" + it->CallerAddress() + "/-/v1/status");
+      const Answer answer =
+        Ask("GET", "http://" + it->CallerAddress() + "/-/v1/status");
       const Json json = Json::parse(answer.body, nullptr, false);
-      if (!json.is_object() || !json["serving"].get<bool>() || json["version"] < aVersion) {
+      if (!json.is_object() || !json["serving"].get<bool>() ||
+          json["version"] < aVersion) {
         return false;
       }
     }
@@ -216,12 +229,15 @@
       if (!it->node || it->node->Id() <= 0) {
         continue;
       }
-      const Answer answer = Ask("GET", "http://" + it->CallerAddress() + "/-/v1/status");
+      const Answer answer =
+        Ask("GET", "http://" + it->CallerAddress() + "/-/v1/status");
       const Json json = Json::parse(answer.body, nullptr, false);
       std::size_t serving = 0;
       if (json.is_object()) {
         for (const auto& member : json["members"]) {
-          serving += member["state"] == "serving" && member["liveness"] == "alive" ? 1 : 0;
+          serving +=
+            member["state"] == "serving" && member["liveness"] == "alive" ? 1
+                                                                          : 0;
         }
       }
       if (serving != aCount) {
--- a/tests/processes/Processes.h
+++ b/tests/processes/Processes.h
@@ -21,7 +21,8 @@
 
   void Signal(int aSignal) const;
 
-  /** Waits for the end; returns the exit code, -1 after a signal, -2 at the timeout. */
+  /** Waits for the end; returns the exit code, -1 after a signal, -2 at the
+   * timeout. */
   int Wait(int aTimeoutMs);
 
   pid_t Id() const { return mId; }
@@ -40,8 +41,14 @@
   std::unique_ptr<Process> node;
   std::unique_ptr<Process> backend;
 
-  std::string CallerAddress() const { return "127.0.0.1:" + std::to_string(basePort + 2); }
-  std::string BackendAddress() const { return "127.0.0.1:" + std::to_string(basePort + 3); }
+  std::string CallerAddress() const
+  {
+    return "127.0.0.1:" + std::to_string(basePort + 2);
+  }
+  std::string BackendAddress() const
+  {
+    return "127.0.0.1:" + std::to_string(basePort + 3);
+  }
 };
 
 /** An answer to an HTTP request; status 0 for none. */
@@ -69,14 +76,18 @@
   explicit TestMesh(int aBasePort);
   ~TestMesh();
 
-  Machine& Add(const std::string& aZone, const std::string& aService, const std::string& aVersion);
+  Machine& Add(const std::string& aZone,
+               const std::string& aService,
+               const std::string& aVersion);
   void StartNode(Machine& aMachine);
   void StartBackend(Machine& aMachine);
 
-  /** Waits until every running node serves at least a version; false at the timeout. */
+  /** Waits until every running node serves at least a version; false at the
+   * timeout. */
   bool AwaitVersion(std::uint64_t aVersion, int aTimeoutMs);
 
-  /** Waits until every running node sees a number of serving backend servers. */
+  /** Waits until every running node sees a number of serving backend servers.
+   */
   bool AwaitServers(std::size_t aCount, int aTimeoutMs);
 
   /** Applies a catalogue file with the command line; returns its exit code. */
@@ -91,6 +102,8 @@
   const std::string& Folder() const { return mFolder; }
 
   std::vector<std::unique_ptr<Machine>> machines;
+  std::vector<std::string>
+    backendFlags; ///< further flags of backend servers started
 
 private:
   int mBasePort;
