--- a/apps/knapweed/Commands.cpp
+++ b/apps/knapweed/Commands.cpp
@@ -330,7 +330,7 @@
       }
     }
     for (const auto& [zone, list] : versions) {
-      std::printf("zone %s: versions in force", zone.c_str());
+      std::printf("zone %s: versions last heard", zone.c_str());
       for (const auto& it : list) {
         std::printf(" %s", it.c_str());
       }
--- a/bench/MeasureFootprint.cpp
+++ b/bench/MeasureFootprint.cpp
@@ -29,7 +29,8 @@
 CpuSeconds(pid_t aProcess)
 {
   std::ifstream file("/proc/" + std::to_string(aProcess) + "/stat");
-  std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  std::string text((std::istreambuf_iterator<char>(file)),
+                   std::istreambuf_iterator<char>());
   std::istringstream fields(text.substr(text.rfind(')') + 2));
   std::string skipped;
   for (int n = 0; n < 11; ++n) {
@@ -65,7 +66,8 @@
     mesh.StartNode(*mesh.machines.back());
   }
   mesh.AwaitVersion(0, 20'000);
-  mesh.Apply(*mesh.machines[0], std::string(KNAPWEED_SOURCE_DIR) + "/examples/coulee-chime.json");
+  mesh.Apply(*mesh.machines[0],
+             std::string(KNAPWEED_SOURCE_DIR) + "/examples/coulee-chime.json");
   std::this_thread::sleep_for(std::chrono::seconds(10));
   double before = 0;
   for (const auto& it : mesh.machines) {
@@ -76,9 +78,11 @@
   double after = 0;
   for (const auto& it : mesh.machines) {
     after += CpuSeconds(it->node->Id());
-    sample.residentMb += ResidentMb(it->node->Id()) / static_cast<double>(aSize);
+    sample.residentMb +=
+      ResidentMb(it->node->Id()) / static_cast<double>(aSize);
   }
-  sample.corePercent = (after - before) / kIdleSeconds / static_cast<double>(aSize) * 100;
+  sample.corePercent =
+    (after - before) / kIdleSeconds / static_cast<double>(aSize) * 100;
   return sample;
 }
 
@@ -89,23 +93,28 @@
 {
   std::vector<bench::Point> memory;
   std::vector<bench::Point> cpu;
-  std::printf("| nodes | resident MB | %% of a core when idle |\n|---|---|---|\n");
+  std::printf(
+    "| nodes | resident MB | %% of a core when idle |\n|---|---|---|\n");
   int port = 20'000;
   for (const std::size_t size : { 6, 12, 24, 48, 96 }) {
     const Sample sample = MeasureSize(size, port);
     port += 2000;
     memory.push_back({ static_cast<double>(size), sample.residentMb });
     cpu.push_back({ static_cast<double>(size), sample.corePercent });
-    std::printf("| %zu | %.2f | %.3f |\n", size, sample.residentMb, sample.corePercent);
+    std::printf(
+      "| %zu | %.2f | %.3f |\n", size, sample.residentMb, sample.corePercent);
     std::fflush(stdout);
   }
   const bench::Line memoryLine = bench::Fit(memory);
   const bench::Line cpuLine = bench::Fit(cpu);
-  std::printf("| line at 600 | %.2f | %.3f |\n", memoryLine.At(kTarget), cpuLine.At(kTarget));
-  std::printf("slopes: %.5f MB and %.6f %% a node; residuals %.3f MB, %.4f %%\n",
-              memoryLine.slope,
-              cpuLine.slope,
-              memoryLine.residual,
-              cpuLine.residual);
+  std::printf("| line at 600 | %.2f | %.3f |\n",
+              memoryLine.At(kTarget),
+              cpuLine.At(kTarget));
+  std::printf(
+    "slopes: %.5f MB and %.6f %% a node; residuals %.3f MB, %.4f %%\n",
+    memoryLine.slope,
+    cpuLine.slope,
+    memoryLine.residual,
+    cpuLine.residual);
   return 0;
 }
--- a/bench/MeasureMoves.cpp
+++ b/bench/MeasureMoves.cpp
@@ -66,10 +66,12 @@
     mesh.Accept(mesh.members[n % size], operation, entries);
     mesh.clock.RunFor(kMeasured / kChanges);
     for (const auto& it : mesh.members) {
-      result.seconds.push_back(std::chrono::duration<double>(it.servedSince - asked).count());
+      result.seconds.push_back(
+        std::chrono::duration<double>(it.servedSince - asked).count());
     }
   }
-  const double elapsed = std::chrono::duration<double>(mesh.clock.Now() - from).count();
+  const double elapsed =
+    std::chrono::duration<double>(mesh.clock.Now() - from).count();
   for (const auto& it : mesh.members) {
     result.bytesPerNodeSecond += static_cast<double>(it.sentBytes);
     result.sentDatagramsPerNodeSecond += static_cast<double>(it.messages);
@@ -78,7 +80,8 @@
   result.bytesPerNodeSecond =
     (result.bytesPerNodeSecond - static_cast<double>(bytes)) / nodeSeconds;
   result.sentDatagramsPerNodeSecond =
-    (result.sentDatagramsPerNodeSecond - static_cast<double>(messages)) / nodeSeconds;
+    (result.sentDatagramsPerNodeSecond - static_cast<double>(messages)) /
+    nodeSeconds;
   return result;
 }
 
@@ -98,7 +101,8 @@
   {
     if (!IsBad(aCase)) {
       ++good;
-      goodInTime += aResult.inTime && aResult.end != config::MoveState::kTakenBack ? 1 : 0;
+      goodInTime +=
+        aResult.inTime && aResult.end != config::MoveState::kTakenBack ? 1 : 0;
       return;
     }
     ++bad;
@@ -109,7 +113,8 @@
     if (back) {
       shareSum += aResult.shareBeforeVerdict;
       shareMost = std::max(shareMost, aResult.shareBeforeVerdict);
-      faultToZero.push_back(static_cast<double>(aResult.faultToZero.count()) / 1000);
+      faultToZero.push_back(static_cast<double>(aResult.faultToZero.count()) /
+                            1000);
     }
   }
 
@@ -121,25 +126,27 @@
                 good,
                 takenBack,
                 bad);
-    std::printf("share before verdict mean %.3f most %.3f; fault to zero p50 %.1f s max %.1f s; "
-                "calls 2 s after the verdict %llu; calls that went wrong %llu\n",
-                takenBack > 0 ? shareSum / takenBack : 0,
-                shareMost,
-                Quantile(faultToZero, 0.5),
-                Quantile(faultToZero, 1),
-                static_cast<unsigned long long>(callsLongAfter),
-                static_cast<unsigned long long>(badCalls));
+    std::printf(
+      "share before verdict mean %.3f most %.3f; fault to zero p50 %.1f s max "
+      "%.1f s; "
+      "calls 2 s after the verdict %llu; calls that went wrong %llu\n",
+      takenBack > 0 ? shareSum / takenBack : 0,
+      shareMost,
+      Quantile(faultToZero, 0.5),
+      Quantile(faultToZero, 1),
+      static_cast<unsigned long long>(callsLongAfter),
+      static_cast<unsigned long long>(badCalls));
   }
 };
 
-/** The timetable alone: what its calls would meet, from the same case without a judge. */
+/** The timetable alone: what its calls would meet, from the same case without a
+ * judge. */
 void
 AddBaseline(MoveTally& aTally, const TrialCase& aCase)
 {
-  TrialCase item = aCase;
-  if (IsBad(item)) {
+  if (IsBad(aCase)) {
     ++aTally.bad;
-    aTally.badCalls += RunTrial(item, false).badCalls;
+    aTally.badCalls += RunTrial(aCase, false).badCalls;
     return;
   }
   ++aTally.good;
@@ -151,15 +158,18 @@
 {
   std::printf("%s\n", aDeployment.name.c_str());
   const Convergence convergence = MeasureConvergence(aDeployment);
-  std::printf("  ours      convergence p50 %.2f s p99 %.2f s max %.2f s; control bytes sent %.0f a "
+  std::printf("  ours      convergence p50 %.2f s p99 %.2f s max %.2f s; "
+              "control bytes sent %.0f a "
               "node and second, %.1f datagrams\n",
               Quantile(convergence.seconds, 0.5),
               Quantile(convergence.seconds, 0.99),
               Quantile(convergence.seconds, 1),
               convergence.bytesPerNodeSecond,
               convergence.sentDatagramsPerNodeSecond);
-  std::printf("  baseline  convergence p50 0.50 s p99 0.99 s max 1.00 s (polls, platform up); "
-              "control bytes %.0f a node and second, and as many platform reads as nodes\n",
+  std::printf("  baseline  convergence p50 0.50 s p99 0.99 s max 1.00 s "
+              "(polls, platform up); "
+              "control bytes %.0f a node and second, and as many platform "
+              "reads as nodes\n",
               kPollBytes);
   MoveTally ours;
   MoveTally baseline;
--- a/bench/MeasureSlopes.cpp
+++ b/bench/MeasureSlopes.cpp
@@ -20,14 +20,14 @@
 
 struct Sample
 {
-  double idleBytes = 0;     ///< sent, per node and second
-  double idleMessages = 0;  ///< datagrams sent, per node and second
-  double reads = 0;         ///< platform reads a second, whole mesh
-  double convergence = 0;   ///< s, slowest node of one change
-  double changeBytes = 0;   ///< sent per node for one change
-  double restartBytes = 0;  ///< sent by all nodes for one restart
+  double idleBytes = 0;       ///< sent, per node and second
+  double idleMessages = 0;    ///< datagrams sent, per node and second
+  double reads = 0;           ///< platform reads a second, whole mesh
+  double convergence = 0;     ///< s, slowest node of one change
+  double changeBytes = 0;     ///< sent per node for one change
+  double restartBytes = 0;    ///< sent by all nodes for one restart
   double cpuMicroseconds = 0; ///< per node and second, fakes included
-  double joinBytes = 0;     ///< one join answer
+  double joinBytes = 0;       ///< one join answer
 };
 
 double
@@ -70,7 +70,8 @@
   const auto readsBefore = mesh.shared.reads;
   const std::clock_t cpuBefore = std::clock();
   mesh.clock.RunFor(kIdle);
-  const double cpu = static_cast<double>(std::clock() - cpuBefore) / CLOCKS_PER_SEC;
+  const double cpu =
+    static_cast<double>(std::clock() - cpuBefore) / CLOCKS_PER_SEC;
   const double idle = SentBytes(mesh) - idleBefore;
   sample.idleBytes = idle / size / seconds;
   sample.idleMessages = (Messages(mesh) - messagesBefore) / size / seconds;
@@ -85,19 +86,24 @@
   const Timestamp asked = mesh.clock.Now();
   mesh.Accept(mesh.members[1], "second", entries);
   mesh.clock.RunFor(Milliseconds(10'000));
-  sample.changeBytes = (SentBytes(mesh) - changeBefore) / size - sample.idleBytes * 10;
+  sample.changeBytes =
+    (SentBytes(mesh) - changeBefore) / size - sample.idleBytes * 10;
   for (const auto& it : mesh.members) {
-    const double took = std::chrono::duration<double>(it.servedSince - asked).count();
-    sample.convergence = std::max(sample.convergence, mesh.AllServe(2) ? took : 99.0);
+    const double took =
+      std::chrono::duration<double>(it.servedSince - asked).count();
+    sample.convergence =
+      std::max(sample.convergence, mesh.AllServe(2) ? took : 99.0);
   }
 
   const double restartBefore = SentBytes(mesh);
   mesh.Start(mesh.members[2]);
   mesh.clock.RunFor(Milliseconds(60'000));
-  sample.restartBytes = SentBytes(mesh) - restartBefore - sample.idleBytes * size * 60;
+  sample.restartBytes =
+    SentBytes(mesh) - restartBefore - sample.idleBytes * size * 60;
   nodes::JoinAnswer answer;
   answer.members = mesh.members[0].core->Members().Everything();
-  sample.joinBytes = static_cast<double>(nodes::EncodeJoinAnswer(answer).size());
+  sample.joinBytes =
+    static_cast<double>(nodes::EncodeJoinAnswer(answer).size());
   return sample;
 }
 
@@ -114,8 +120,11 @@
     std::printf(" %.4g |", aSamples[n].*aField);
   }
   const bench::Line line = bench::Fit(points);
-  std::printf(
-    " %.4g | %.4g | %.3g | %.4g |\n", line.slope, line.constant, line.residual, line.At(kTarget));
+  std::printf(" %.4g | %.4g | %.3g | %.4g |\n",
+              line.slope,
+              line.constant,
+              line.residual,
+              line.At(kTarget));
 }
 
 } // namespace
@@ -130,14 +139,29 @@
     samples.push_back(MeasureSize(it));
     std::printf(" %zu nodes |", it);
   }
-  std::printf(" slope | constant | residual | line at 600 |\n|---|---|---|---|---|---|---|---|---|---|\n");
-  PrintLine("bytes sent when idle, per node and s", sizes, samples, &Sample::idleBytes);
-  PrintLine("datagrams sent when idle, per node and s", sizes, samples, &Sample::idleMessages);
+  std::printf(" slope | constant | residual | line at 600 "
+              "|\n|---|---|---|---|---|---|---|---|---|---|\n");
+  PrintLine(
+    "bytes sent when idle, per node and s", sizes, samples, &Sample::idleBytes);
+  PrintLine("datagrams sent when idle, per node and s",
+            sizes,
+            samples,
+            &Sample::idleMessages);
   PrintLine("platform reads when idle, per s", sizes, samples, &Sample::reads);
-  PrintLine("slowest node of one change, s", sizes, samples, &Sample::convergence);
-  PrintLine("bytes sent for one change, per node", sizes, samples, &Sample::changeBytes);
-  PrintLine("bytes sent for one restart, all nodes", sizes, samples, &Sample::restartBytes);
-  PrintLine("processor time when idle, us per node and s", sizes, samples, &Sample::cpuMicroseconds);
+  PrintLine(
+    "slowest node of one change, s", sizes, samples, &Sample::convergence);
+  PrintLine("bytes sent for one change, per node",
+            sizes,
+            samples,
+            &Sample::changeBytes);
+  PrintLine("bytes sent for one restart, all nodes",
+            sizes,
+            samples,
+            &Sample::restartBytes);
+  PrintLine("processor time when idle, us per node and s",
+            sizes,
+            samples,
+            &Sample::cpuMicroseconds);
   PrintLine("bytes of one join answer", sizes, samples, &Sample::joinBytes);
   return 0;
 }
--- a/include/knapweedpaddle/node/ServingGate.h
+++ b/include/knapweedpaddle/node/ServingGate.h
@@ -12,8 +12,9 @@
 struct PeerKnowledge
 {
   std::uint64_t version = 0;
-  std::uint64_t remembered = 0; ///< highest version heard from the asking address
-  bool serving = false;         ///< the peer is itself known to be up to date
+  std::uint64_t remembered =
+    0;                  ///< highest version heard from the asking address
+  bool serving = false; ///< the peer is itself known to be up to date
 };
 
 /**
--- a/include/knapweedpaddle/runtime/EventLoop.h
+++ b/include/knapweedpaddle/runtime/EventLoop.h
@@ -39,7 +39,7 @@
 
   /** Forgets a timer; does nothing for one that already ran or was cancelled.
    */
-  void Cancel(TimerId aTimer);
+  void Cancel(TimerId aTimer) override;
 
   /** Calls back whenever a descriptor is readable, for the life of the loop. */
   void WatchReadable(int aDescriptor, Task aTask);
--- a/src/moves/OldVersionRate.cpp
+++ b/src/moves/OldVersionRate.cpp
@@ -38,7 +38,8 @@
   if (mLong.calls < kLeastCalls) {
     return std::nullopt;
   }
-  return std::max((mLong.bad + 0.5) / (mLong.calls + 1), mShort.bad / mShort.calls);
+  return std::max((mLong.bad + 0.5) / (mLong.calls + 1),
+                  mShort.bad / mShort.calls);
 }
 
 } // namespace knapweedpaddle::moves
--- a/src/settings/SettingList.h
+++ b/src/settings/SettingList.h
@@ -11,7 +11,7 @@
   TEXT(zone, "", "name", "1 to 64 characters", "availability zone of this VM")                     \
   TEXT(mesh, "mesh", "name", "1 to 64 characters", "nodes of other meshes are ignored")            \
   TEXT(platform, "127.0.0.1:7000", "IP:port", "IP:port", "the platform's table and object store")  \
-  TEXT(seeds, "", "IP:port list", "comma separated", "gossip addresses tried besides the table")   \
+  TEXT(seeds, "", "IP:port list", "comma separated", "link addresses of peers tried besides the table")   \
   TEXT(operators, "", "owner=token list", "comma separated", "who may write whose entries")        \
   NUMBER(caller_threads, std::uint32_t, 1, 1, 64, "threads", "threads that read callers' requests") \
   NUMBER(platform_timeout_ms, std::uint32_t, 1000, 10, 60000, "ms", "longest wait for the platform") \
--- a/tests/config/ConfigStoreTest.cpp
+++ b/tests/config/ConfigStoreTest.cpp
@@ -56,7 +56,9 @@
 
 } // namespace
 
-TEST_CASE("crossed, repeated and corrupt changes are applied whole or not at all", "[config]")
+TEST_CASE(
+  "crossed, repeated and corrupt changes are applied whole or not at all",
+  "[config]")
 {
   constexpr std::uint64_t kSeeds = 200;
   std::uint64_t older = 0;
@@ -79,7 +81,8 @@
       }
       older += store.Version() < before ? 1 : 0;
       partial +=
-        store.Version() > 0 && !digests.contains(store.Current()->Digest()) ? 1 : 0;
+        store.Version() > 0 && !digests.contains(store.Current()->Digest()) ? 1
+                                                                            : 0;
       dangling += Validate(*store.Current(), reason) ? 0 : 1;
     }
   }
@@ -129,17 +132,24 @@
     return reason.message;
   };
   CHECK(messageFor("{").find("not valid JSON") == 0);
-  CHECK(messageFor(R"({"operation_id":"a","entries":[{"kind":"rout","name":"x","owner":"o"}]})")
-          .find("field \"kind\" must be one of service, route, limit, move") != std::string::npos);
-  CHECK(messageFor(
-          R"({"operation_id":"a","entries":[{"kind":"service","name":"x","owner":"o","version":1}]})") ==
-        "entry 1 service/x: field \"version\" must be a string");
-  CHECK(messageFor(
-          R"({"operation_id":"a","entries":[{"kind":"service","name":"x","owner":"o","version":"1","colour":2}]})") ==
-        "entry 1 service/x: unknown field \"colour\"");
-  CHECK(messageFor(
-          R"({"operation_id":"a","entries":[{"kind":"service","name":"x","owner":"o","version":"1"},
+  CHECK(
+    messageFor(
+      R"({"operation_id":"a","entries":[{"kind":"rout","name":"x","owner":"o"}]})")
+      .find("field \"kind\" must be one of service, route, limit, move") !=
+    std::string::npos);
+  CHECK(
+    messageFor(
+      R"({"operation_id":"a","entries":[{"kind":"service","name":"x","owner":"o","version":1}]})") ==
+    "entry 1 service/x: field \"version\" must be a string");
+  CHECK(
+    messageFor(
+      R"({"operation_id":"a","entries":[{"kind":"service","name":"x","owner":"o","version":"1","colour":2}]})") ==
+    "entry 1 service/x: unknown field \"colour\"");
+  CHECK(
+    messageFor(
+      R"({"operation_id":"a","entries":[{"kind":"service","name":"x","owner":"o","version":"1"},
                                             {"kind":"service","name":"x","owner":"o","version":"2"}]})") ==
-        "request: entry service/x is named twice");
-  CHECK(messageFor(R"({"operation_id":"a"})").find("at least one entry") != std::string::npos);
+    "request: entry service/x is named twice");
+  CHECK(messageFor(R"({"operation_id":"a"})").find("at least one entry") !=
+        std::string::npos);
 }
--- a/tests/fakes/FakeClock.h
+++ b/tests/fakes/FakeClock.h
@@ -17,7 +17,8 @@
   Timestamp Now() const { return mNow; }
   WallMilliseconds Wall() const
   {
-    return kWallStart + std::chrono::duration_cast<Milliseconds>(mNow - kStart).count();
+    return kWallStart +
+           std::chrono::duration_cast<Milliseconds>(mNow - kStart).count();
   }
 
   std::uint64_t At(Timestamp aWhen, Task aTask)
--- a/tests/fakes/FakeMesh.cpp
+++ b/tests/fakes/FakeMesh.cpp
@@ -32,16 +32,17 @@
 
   TimerId RunAfter(Milliseconds aDelay, Task aTask) override
   {
-    return mClock.At(mClock.Now() + aDelay, [this, task = std::move(aTask), life = mLife] {
-      if (!mNode.alive || mNode.incarnation != life) {
-        return;
-      }
-      if (mNode.paused) {
-        mNode.waiting.push_back(task);
-        return;
-      }
-      task();
-    });
+    return mClock.At(mClock.Now() + aDelay,
+                     [this, task = std::move(aTask), life = mLife] {
+                       if (!mNode.alive || mNode.incarnation != life) {
+                         return;
+                       }
+                       if (mNode.paused) {
+                         mNode.waiting.push_back(task);
+                         return;
+                       }
+                       task();
+                     });
   }
 
   void Cancel(TimerId aTimer) override { mClock.Cancel(aTimer); }
@@ -70,21 +71,28 @@
       aAddress,
       nodes::EncodeJoinRequest(aSelf).size(),
       [aSelf](node::ControlCore& aCore) { return aCore.OnJoin(aSelf); },
-      [](const nodes::JoinAnswer& aAnswer) { return nodes::EncodeJoinAnswer(aAnswer).size(); },
+      [](const nodes::JoinAnswer& aAnswer) {
+        return nodes::EncodeJoinAnswer(aAnswer).size();
+      },
       std::move(aCallback));
   }
 
-  void Pull(const std::string& aAddress, std::uint64_t aFrom, PullCallback aCallback) override
+  void Pull(const std::string& aAddress,
+            std::uint64_t aFrom,
+            PullCallback aCallback) override
   {
     Ask<nodes::PullAnswer>(
       aAddress,
       nodes::EncodePullRequest(aFrom).size(),
       [aFrom](node::ControlCore& aCore) { return aCore.OnPull(aFrom); },
-      [](const nodes::PullAnswer& aAnswer) { return nodes::EncodePullAnswer(aAnswer).size(); },
+      [](const nodes::PullAnswer& aAnswer) {
+        return nodes::EncodePullAnswer(aAnswer).size();
+      },
       std::move(aCallback));
   }
 
-  void Report(const std::string& aAddress, const moves::EvidenceReport& aReport) override
+  void Report(const std::string& aAddress,
+              const moves::EvidenceReport& aReport) override
   {
     Ask<bool>(
       aAddress,
@@ -118,21 +126,27 @@
     }
     const Milliseconds latency = mMesh.Latency(mSelf, *peer);
     const std::uint64_t life = mSelf.incarnation;
-    mMesh.Deliver(*peer, latency, [this, peer, life, aBytes, aWork, aSize, aCallback, answered] {
-      peer->receivedBytes += aBytes + kStreamOverhead;
-      const T result = aWork(*peer->core);
-      peer->sentBytes += aSize(result) + kStreamOverhead;
-      if (!mMesh.Reaches(peer->zone, mSelf.zone) || mSelf.incarnation != life) {
-        return;
-      }
-      mMesh.Deliver(
-        mSelf, mMesh.Latency(*peer, mSelf), [this, aSize, result, aCallback, answered] {
-          if (!std::exchange(*answered, true)) {
-            mSelf.receivedBytes += aSize(result) + kStreamOverhead;
-            aCallback(result);
-          }
-        });
-    });
+    mMesh.Deliver(
+      *peer,
+      latency,
+      [this, peer, life, aBytes, aWork, aSize, aCallback, answered] {
+        peer->receivedBytes += aBytes + kStreamOverhead;
+        const T result = aWork(*peer->core);
+        peer->sentBytes += aSize(result) + kStreamOverhead;
+        if (!mMesh.Reaches(peer->zone, mSelf.zone) ||
+            mSelf.incarnation != life) {
+          return;
+        }
+        mMesh.Deliver(mSelf,
+                      mMesh.Latency(*peer, mSelf),
+                      [this, aSize, result, aCallback, answered] {
+                        if (!std::exchange(*answered, true)) {
+                          mSelf.receivedBytes +=
+                            aSize(result) + kStreamOverhead;
+                          aCallback(result);
+                        }
+                      });
+      });
   }
 
   FakeMesh& mMesh;
@@ -153,7 +167,9 @@
   const std::uint64_t address = kFirstAddress + members.size();
   node.id = nodes::NodeId{ address << 16 | 7100 };
   node.zone = aZone;
-  node.backend = backends::BackendServer{ AddressWithPort(node.id, 7200), aService, "v1", 12 };
+  node.backend = backends::BackendServer{
+    AddressWithPort(node.id, 7200), aService, "v1", 12
+  };
   return node;
 }
 
@@ -176,7 +192,8 @@
   aNode.scheduler = std::make_unique<NodeScheduler>(clock, aNode);
   aNode.platform = std::make_unique<FakePlatform>(clock, shared, mRandom());
   aNode.platform->SetPlan([this, &aNode](bool) {
-    return mPlatformCuts.contains(aNode.zone) ? PlatformFault::kLostRequest : mPlatformFault;
+    return mPlatformCuts.contains(aNode.zone) ? PlatformFault::kLostRequest
+                                              : mPlatformFault;
   });
   aNode.peers = std::make_unique<FakePeers>(*this, aNode);
   nodes::MemberRecord self;
@@ -190,8 +207,12 @@
       *aNode.scheduler,
       *aNode.platform,
       *aNode.peers,
-      [this, &aNode](const nodes::Datagram& aDatagram) { Send(aNode, aDatagram); },
-      [this, &aNode](routing::RoutingViewPtr aView) { OnView(aNode, std::move(aView)); },
+      [this, &aNode](const nodes::Datagram& aDatagram) {
+        Send(aNode, aDatagram);
+      },
+      [this, &aNode](routing::RoutingViewPtr aView) {
+        OnView(aNode, std::move(aView));
+      },
       [](const std::optional<backends::BackendServer>&) {},
       [](const std::string&, const std::string&) {},
     },
@@ -279,7 +300,9 @@
   request.operationId = aOperation;
   request.upserts = std::move(aEntries);
   aNode.core->Acceptor().Accept(
-    std::move(request), "owner", [this, aOperation](const operators::AcceptResult& aResult) {
+    std::move(request),
+    "owner",
+    [this, aOperation](const operators::AcceptResult& aResult) {
       answers[aOperation] = aResult;
     });
 }
@@ -288,23 +311,25 @@
 FakeMesh::AllServe(std::uint64_t aVersion) const
 {
   return std::ranges::all_of(members, [aVersion](const NodeState& aNode) {
-    return !aNode.alive ||
-           (aNode.view && aNode.view->open && aNode.view->config->version >= aVersion);
+    return !aNode.alive || (aNode.view && aNode.view->open &&
+                            aNode.view->config->version >= aVersion);
   });
 }
 
 std::size_t
 FakeMesh::ServingCount() const
 {
-  return static_cast<std::size_t>(std::ranges::count_if(members, [](const NodeState& aNode) {
-    return aNode.alive && aNode.view && aNode.view->open;
-  }));
+  return static_cast<std::size_t>(
+    std::ranges::count_if(members, [](const NodeState& aNode) {
+      return aNode.alive && aNode.view && aNode.view->open;
+    }));
 }
 
 FakeMesh::NodeState*
 FakeMesh::Find(nodes::NodeId aId)
 {
-  const auto index = (static_cast<std::uint64_t>(aId) >> 16) - kFirstAddress - 1;
+  const auto index =
+    (static_cast<std::uint64_t>(aId) >> 16) - kFirstAddress - 1;
   return index < members.size() ? &members[index] : nullptr;
 }
 
@@ -351,7 +376,8 @@
   aFrom.sentBytes += bytes.size() + kDatagramOverhead;
   ++aFrom.messages;
   NodeState* to = Find(aDatagram.to);
-  const bool lost = std::uniform_real_distribution<double>(0, 1)(mRandom) < mLoss;
+  const bool lost =
+    std::uniform_real_distribution<double>(0, 1)(mRandom) < mLoss;
   if (!to || lost || !Reaches(aFrom.zone, to->zone)) {
     return;
   }
@@ -379,10 +405,12 @@
     if (!config::Validate(*aView->config, reason)) {
       violations.push_back("P2: " + reason.message);
     }
-    const auto row = shared.table.Read({ platform::ChangeKey(version) }).front();
+    const auto row =
+      shared.table.Read({ platform::ChangeKey(version) }).front();
     const auto change = config::DecodeChange(row.value, reason);
     if (version > 0 && change && change->digest != aView->config->Digest()) {
-      violations.push_back("P3: version " + std::to_string(version) + " has another digest");
+      violations.push_back("P3: version " + std::to_string(version) +
+                           " has another digest");
     }
   }
   aNode.view = std::move(aView);
@@ -394,7 +422,8 @@
   if (aNode.backend) {
     aNode.core->Announce({ *aNode.backend, false });
   }
-  aNode.scheduler->RunAfter(Milliseconds(1000), [this, &aNode] { Announce(aNode); });
+  aNode.scheduler->RunAfter(Milliseconds(1000),
+                            [this, &aNode] { Announce(aNode); });
 }
 
 std::vector<config::Entry>
--- a/tests/fakes/FakeMesh.h
+++ b/tests/fakes/FakeMesh.h
@@ -65,7 +65,9 @@
   void SetLoss(double aShare) { mLoss = aShare; }
 
   /** Asks a node to accept a change; the result comes by the callback. */
-  void Accept(NodeState& aNode, const std::string& aOperation, std::vector<config::Entry> aEntries);
+  void Accept(NodeState& aNode,
+              const std::string& aOperation,
+              std::vector<config::Entry> aEntries);
 
   /** True when every live node serves at least a version. */
   bool AllServe(std::uint64_t aVersion) const;
@@ -98,7 +100,8 @@
   std::set<std::string> mPlatformCuts;
   PlatformFault mPlatformFault = PlatformFault::kNone;
   double mLoss = 0;
-  std::vector<NodeState> mGraveyard; ///< earlier lives, which queued tasks may still name
+  std::vector<NodeState>
+    mGraveyard; ///< earlier lives, which queued tasks may still name
 };
 
 /** Returns entries for a service with one route, in a version given. */
--- a/tests/fakes/FakePlatform.h
+++ b/tests/fakes/FakePlatform.h
@@ -13,12 +13,12 @@
 enum class PlatformFault
 {
   kNone,
-  kDown,       ///< refused at once; nothing is written
-  kUnreached,  ///< never arrives, and the client knows
-  kLostAnswer, ///< takes effect; the client never hears
-  kLateWrite,  ///< takes effect only after the client gave up
+  kDown,        ///< refused at once; nothing is written
+  kUnreached,   ///< never arrives, and the client knows
+  kLostAnswer,  ///< takes effect; the client never hears
+  kLateWrite,   ///< takes effect only after the client gave up
   kLostRequest, ///< never arrives; the client can't tell
-  kSlow,       ///< answers after half the timeout
+  kSlow,        ///< answers after half the timeout
 };
 
 inline constexpr std::array<EnumName<PlatformFault>, 7> kPlatformFaultNames{ {
@@ -31,7 +31,8 @@
   { PlatformFault::kSlow, "slow" },
 } };
 
-/** The table and objects that all clients share, with counts of what was asked. */
+/** The table and objects that all clients share, with counts of what was asked.
+ */
 struct SharedPlatform
 {
   standins::Table table;
@@ -83,11 +84,13 @@
       std::move(aCallback));
   }
 
-  void Commit(platform::Transaction aTransaction, DoneCallback aCallback) override
+  void Commit(platform::Transaction aTransaction,
+              DoneCallback aCallback) override
   {
     Request<bool>(
       true,
-      [this, transaction = std::move(aTransaction)](platform::PlatformReason& aReason) {
+      [this, transaction = std::move(aTransaction)](
+        platform::PlatformReason& aReason) {
         ++mShared.writes;
         aReason.conflictingKeys = mShared.table.Commit(transaction);
         if (aReason.conflictingKeys.empty()) {
@@ -96,13 +99,15 @@
         aReason.code = platform::PlatformError::kConflict;
         return std::optional<bool>();
       },
-      [callback = std::move(aCallback)](std::optional<bool> aDone,
-                                        const platform::PlatformReason& aReason) {
+      [callback = std::move(aCallback)](
+        std::optional<bool> aDone, const platform::PlatformReason& aReason) {
         callback(aDone.has_value(), aReason);
       });
   }
 
-  void PutObject(std::string aName, std::string aBody, DoneCallback aCallback) override
+  void PutObject(std::string aName,
+                 std::string aBody,
+                 DoneCallback aCallback) override
   {
     Request<bool>(
       true,
@@ -111,8 +116,8 @@
         mShared.table.PutObject(aName, aBody);
         return std::optional(true);
       },
-      [callback = std::move(aCallback)](std::optional<bool> aDone,
-                                        const platform::PlatformReason& aReason) {
+      [callback = std::move(aCallback)](
+        std::optional<bool> aDone, const platform::PlatformReason& aReason) {
         callback(aDone.has_value(), aReason);
       });
   }
@@ -134,22 +139,26 @@
   static constexpr Milliseconds kTimeout{ 1000 };
   static constexpr Milliseconds kLateBy{ 700 };
 
-  Milliseconds Latency() { return Milliseconds(1 + static_cast<std::int64_t>(mRandom() % 8)); }
+  Milliseconds Latency()
+  {
+    return Milliseconds(1 + static_cast<std::int64_t>(mRandom() % 8));
+  }
 
   template<typename T, typename Work, typename Callback>
   void Request(bool aIsWrite, Work aWork, Callback aCallback)
   {
     const PlatformFault fault = mPlan ? mPlan(aIsWrite) : PlatformFault::kNone;
     const Timestamp now = mClock.Now();
-    const auto answer = [this, dead = mDead, aCallback](Timestamp aWhen,
-                                                        std::optional<T> aResult,
-                                                        platform::PlatformReason aReason) {
-      mClock.At(aWhen, [dead, aCallback, aResult, aReason] {
-        if (!*dead) {
-          aCallback(aResult, aReason);
-        }
-      });
-    };
+    const auto answer =
+      [this, dead = mDead, aCallback](Timestamp aWhen,
+                                      std::optional<T> aResult,
+                                      platform::PlatformReason aReason) {
+        mClock.At(aWhen, [dead, aCallback, aResult, aReason] {
+          if (!*dead) {
+            aCallback(aResult, aReason);
+          }
+        });
+      };
     const auto fail = [&](Milliseconds aDelay, platform::PlatformError aCode) {
       platform::PlatformReason reason;
       reason.Set(aCode, "fake platform");
--- a/tests/fakes/TrialCases.cpp
+++ b/tests/fakes/TrialCases.cpp
@@ -35,12 +35,18 @@
     int faultAfterSeconds;
   };
   static const std::vector<Kind> kKinds{
-    { VersionFault::kNone, 0, 0 },          { VersionFault::kNone, 0, 0 },
-    { VersionFault::kBothFail, 0.3, 5 },    { VersionFault::kFails, 1.0, 0 },
-    { VersionFault::kFails, 0.3, 0 },       { VersionFault::kFails, 0.5, 15 },
-    { VersionFault::kFails, 0.5, 35 },      { VersionFault::kSlow, 0.8, 0 },
-    { VersionFault::kSlow, 0.5, 20 },       { VersionFault::kFailsOnRoute, 0.6, 0 },
-    { VersionFault::kFailsInZone, 0.6, 0 }, { VersionFault::kFailsLoaded, 0.5, 0 },
+    { VersionFault::kNone, 0, 0 },
+    { VersionFault::kNone, 0, 0 },
+    { VersionFault::kBothFail, 0.3, 5 },
+    { VersionFault::kFails, 1.0, 0 },
+    { VersionFault::kFails, 0.3, 0 },
+    { VersionFault::kFails, 0.5, 15 },
+    { VersionFault::kFails, 0.5, 35 },
+    { VersionFault::kSlow, 0.8, 0 },
+    { VersionFault::kSlow, 0.5, 20 },
+    { VersionFault::kFailsOnRoute, 0.6, 0 },
+    { VersionFault::kFailsInZone, 0.6, 0 },
+    { VersionFault::kFailsLoaded, 0.5, 0 },
   };
   std::vector<TrialCase> cases;
   std::uint64_t seed = 1;
@@ -67,17 +73,20 @@
 bool
 IsBad(const TrialCase& aCase)
 {
-  return aCase.fault != VersionFault::kNone && aCase.fault != VersionFault::kBothFail;
+  return aCase.fault != VersionFault::kNone &&
+         aCase.fault != VersionFault::kBothFail;
 }
 
 std::string
 NameOf(const TrialCase& aCase)
 {
-  return std::string(knapweedpaddle::NameOf(kVersionFaultNames, aCase.fault)) + " " +
-         std::to_string(static_cast<int>(aCase.badShare * 100)) + "% from " +
-         std::to_string(aCase.faultAfter.count() / 1000) + " s, " +
-         std::string(knapweedpaddle::NameOf(kDisturbanceNames, aCase.disturbance)) + ", " +
-         std::to_string(aCase.upstreams) + " upstreams, seed " + std::to_string(aCase.seed);
+  return std::string(knapweedpaddle::NameOf(kVersionFaultNames, aCase.fault)) +
+         " " + std::to_string(static_cast<int>(aCase.badShare * 100)) +
+         "% from " + std::to_string(aCase.faultAfter.count() / 1000) + " s, " +
+         std::string(
+           knapweedpaddle::NameOf(kDisturbanceNames, aCase.disturbance)) +
+         ", " + std::to_string(aCase.upstreams) + " upstreams, seed " +
+         std::to_string(aCase.seed);
 }
 
 } // namespace knapweedpaddle::fakes
--- a/tests/moves/MoveTrialTest.cpp
+++ b/tests/moves/MoveTrialTest.cpp
@@ -10,13 +10,15 @@
 
 namespace {
 
-/** A fault that is there from the start must be found before the share grows past this. */
+/** A fault that is there from the start must be found before the share grows
+ * past this. */
 constexpr double kShareSlack = 0.03;
 
 bool
 ShareHolds(const TrialCase& aCase, const TrialResult& aResult)
 {
-  return aCase.faultAfter.count() > 0 || aCase.fault == VersionFault::kFailsLoaded ||
+  return aCase.faultAfter.count() > 0 ||
+         aCase.fault == VersionFault::kFailsLoaded ||
          aResult.shareBeforeVerdict <= aCase.canaryShare + kShareSlack;
 }
 
@@ -33,11 +35,11 @@
           continue;
         }
         const TrialResult result = RunTrial(item);
-        const auto wanted =
-          IsBad(item) ? config::MoveState::kTakenBack : config::MoveState::kDone;
-        INFO(deployment.name << ": " << fakes::NameOf(item) << ": " << result.reason
-                             << ", in time " << result.inTime << ", share "
-                             << result.shareBeforeVerdict);
+        const auto wanted = IsBad(item) ? config::MoveState::kTakenBack
+                                        : config::MoveState::kDone;
+        INFO(deployment.name << ": " << fakes::NameOf(item) << ": "
+                             << result.reason << ", in time " << result.inTime
+                             << ", share " << result.shareBeforeVerdict);
         const bool ended = result.end == wanted;
         const bool inTime = IsBad(item) || result.inTime;
         CHECK(ended);
@@ -46,9 +48,14 @@
         const bool shareHolds = !IsBad(item) || ShareHolds(item, result);
         CHECK(shareHolds);
         ++cells;
-        bad += ended && inTime && result.callsLongAfter == 0 && shareHolds ? 0 : 1;
+        bad +=
+          ended && inTime && result.callsLongAfter == 0 && shareHolds ? 0 : 1;
       }
-      proof::Note("P4", std::string(disturbance.name), cells, bad, "move trials " + deployment.name);
+      proof::Note("P4",
+                  std::string(disturbance.name),
+                  cells,
+                  bad,
+                  "move trials " + deployment.name);
     }
   }
 }
--- a/tests/node/MeshFaultTest.cpp
+++ b/tests/node/MeshFaultTest.cpp
@@ -12,10 +12,14 @@
 
 namespace {
 
-constexpr Milliseconds kBound{ 7000 }; ///< the target's time for a change to be in force
+constexpr Milliseconds kBound{
+  7000
+}; ///< the target's time for a change to be in force
 constexpr Milliseconds kFaultTime{ 5000 };
 constexpr std::uint64_t kSeeds = 12;
-const std::vector<std::string> kZones{ "regina-yard", "saskatoon-hall", "lethbridge-vault" };
+const std::vector<std::string> kZones{ "regina-yard",
+                                       "saskatoon-hall",
+                                       "lethbridge-vault" };
 
 /** A fault that begins and ends. */
 struct Fault
@@ -26,7 +30,9 @@
 };
 
 void
-EachIn(FakeMesh& aMesh, const std::string& aZone, void (FakeMesh::*aMethod)(FakeMesh::NodeState&))
+EachIn(FakeMesh& aMesh,
+       const std::string& aZone,
+       void (FakeMesh::*aMethod)(FakeMesh::NodeState&))
 {
   for (auto& it : aMesh.members) {
     if (it.zone == aZone) {
@@ -87,8 +93,12 @@
   { "datagrams lost",
     [](FakeMesh& aMesh) { aMesh.SetLoss(0.3); },
     [](FakeMesh& aMesh) { aMesh.SetLoss(0); } },
-  { "platform down", SetPlatform<PlatformFault::kDown>, SetPlatform<PlatformFault::kNone> },
-  { "platform slow", SetPlatform<PlatformFault::kSlow>, SetPlatform<PlatformFault::kNone> },
+  { "platform down",
+    SetPlatform<PlatformFault::kDown>,
+    SetPlatform<PlatformFault::kNone> },
+  { "platform slow",
+    SetPlatform<PlatformFault::kSlow>,
+    SetPlatform<PlatformFault::kNone> },
   { "platform answers lost after the write",
     SetPlatform<PlatformFault::kLostAnswer>,
     SetPlatform<PlatformFault::kNone> },
@@ -129,7 +139,9 @@
 
 /** Runs one change with faults that begin at a step and end some time later. */
 Outcome
-RunCell(const std::vector<const Fault*>& aFaults, Milliseconds aStep, std::uint64_t aSeed)
+RunCell(const std::vector<const Fault*>& aFaults,
+        Milliseconds aStep,
+        std::uint64_t aSeed)
 {
   const auto mesh = StartedMesh(aSeed);
   REQUIRE(mesh->AllServe(1));
@@ -161,7 +173,8 @@
   outcome.late = !mesh->AllServe(head);
   const auto answer = mesh->answers.find("second");
   if (answer != mesh->answers.end() &&
-      answer->second.outcome == operators::AcceptOutcome::kAccepted && !mesh->AllServe(2)) {
+      answer->second.outcome == operators::AcceptOutcome::kAccepted &&
+      !mesh->AllServe(2)) {
     outcome.late = true;
   }
   return outcome;
@@ -202,7 +215,8 @@
     for (const auto step : kSteps) {
       for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
         const Outcome outcome = RunCell({ &fault }, step, seed);
-        INFO(fault.name << " step " << step.count() << " seed " << seed << " " << outcome.detail);
+        INFO(fault.name << " step " << step.count() << " seed " << seed << " "
+                        << outcome.detail);
         CHECK_FALSE(outcome.older);
         CHECK_FALSE(outcome.dangling);
         CHECK_FALSE(outcome.partial);
@@ -220,9 +234,10 @@
   for (std::size_t n = 0; n < kFaults.size(); ++n) {
     for (std::size_t m = n; m < kFaults.size(); ++m) {
       for (const auto step : kSteps) {
-        const Outcome outcome = RunCell({ &kFaults[n], &kFaults[m] }, step, n * 100 + m);
-        INFO(kFaults[n].name << " + " << kFaults[m].name << " step " << step.count() << " "
-                             << outcome.detail);
+        const Outcome outcome =
+          RunCell({ &kFaults[n], &kFaults[m] }, step, n * 100 + m);
+        INFO(kFaults[n].name << " + " << kFaults[m].name << " step "
+                             << step.count() << " " << outcome.detail);
         CHECK_FALSE(outcome.older);
         CHECK_FALSE(outcome.dangling);
         CHECK_FALSE(outcome.partial);
@@ -234,7 +249,8 @@
   tally.Note("together: every pair", "mesh pairs");
 }
 
-TEST_CASE("a storm of starts keeps platform reads within their budget", "[mesh]")
+TEST_CASE("a storm of starts keeps platform reads within their budget",
+          "[mesh]")
 {
   // 2,000 reads a second is all that the platform gives; a quarter is ours.
   constexpr std::uint64_t kReadsPerSecond = 500;
@@ -257,7 +273,8 @@
   CHECK(mesh.violations.empty());
 }
 
-TEST_CASE("a zone cut from everything serves on, and a herd that returns there holds what peers "
+TEST_CASE("a zone cut from everything serves on, and a herd that returns there "
+          "holds what peers "
           "remember",
           "[mesh]")
 {
--- a/tests/operators/AcceptorTest.cpp
+++ b/tests/operators/AcceptorTest.cpp
@@ -1,8 +1,8 @@
 // Operators race on the same entries while the platform fails in every way.
 
+#include "knapweedpaddle/operators/Acceptor.h"
 #include "fakes/FakePlatform.h"
 #include "knapweedpaddle/config/EntryCodec.h"
-#include "knapweedpaddle/operators/Acceptor.h"
 #include "knapweedpaddle/platform/CatalogueRows.h"
 #include "proof/ProofLog.h"
 
@@ -50,7 +50,8 @@
 {
   std::vector<config::Change> changes;
   config::ConfigReason reason;
-  for (const auto& it : aShared.table.ReadRange(platform::kChangePrefix, "", 10'000)) {
+  for (const auto& it :
+       aShared.table.ReadRange(platform::kChangePrefix, "", 10'000)) {
     changes.push_back(*config::DecodeChange(it.value, reason));
   }
   return changes;
@@ -58,22 +59,26 @@
 
 /** Returns what is wrong with a history, or "". */
 std::string
-CheckHistory(const std::vector<Request>& aRequests, const std::vector<config::Change>& aChanges)
+CheckHistory(const std::vector<Request>& aRequests,
+             const std::vector<config::Change>& aChanges)
 {
   std::map<std::string, std::uint64_t> versionOf;
   std::map<std::string, std::uint64_t> revisions;
   std::uint64_t expected = 1;
   for (const auto& change : aChanges) {
     if (change.version != expected++) {
-      return "the log has a gap before version " + std::to_string(change.version);
+      return "the log has a gap before version " +
+             std::to_string(change.version);
     }
     if (!versionOf.emplace(change.operationId, change.version).second) {
       return "operation " + change.operationId + " was accepted twice";
     }
     const std::string entry = config::HeaderOf(change.upserts.front()).name;
     for (const auto& request : aRequests) {
-      if (request.operation == change.operationId && request.seen != revisions[entry]) {
-        return "operation " + request.operation + " overwrote a revision that it had not seen";
+      if (request.operation == change.operationId &&
+          request.seen != revisions[entry]) {
+        return "operation " + request.operation +
+               " overwrote a revision that it had not seen";
       }
     }
     revisions[entry] = change.version;
@@ -85,12 +90,14 @@
     }
     if (it.result->outcome == AcceptOutcome::kAccepted &&
         (!inLog || versionOf[it.operation] != it.result->version)) {
-      return "operation " + it.operation + " was called accepted and is not in the log";
+      return "operation " + it.operation +
+             " was called accepted and is not in the log";
     }
     const bool surelyNot = it.result->outcome != AcceptOutcome::kAccepted &&
                            it.result->outcome != AcceptOutcome::kUnknown;
     if (surelyNot && inLog) {
-      return "operation " + it.operation + " was called refused and is in the log";
+      return "operation " + it.operation +
+             " was called refused and is in the log";
     }
   }
   return {};
@@ -104,7 +111,8 @@
   std::mt19937_64 random(aSeed);
   std::vector<std::unique_ptr<Operator>> operators;
   for (std::uint64_t n = 0; n < 4; ++n) {
-    operators.push_back(std::make_unique<Operator>(clock, shared, aSeed * 10 + n));
+    operators.push_back(
+      std::make_unique<Operator>(clock, shared, aSeed * 10 + n));
     operators.back()->platform.SetPlan([&random, aFault](bool) {
       return random() % 4 == 0 ? aFault : PlatformFault::kNone;
     });
@@ -120,15 +128,16 @@
       ServiceEntry entry;
       entry.header = { request.entry, "owner", 0 };
       entry.version = request.operation;
-      if (const auto* known = it.store.Current()->Get<ServiceEntry>(config::EntryKind::kService,
-                                                                    request.entry)) {
+      if (const auto* known = it.store.Current()->Get<ServiceEntry>(
+            config::EntryKind::kService, request.entry)) {
         entry.header.revision = known->header.revision;
       }
       request.seen = entry.header.revision;
       config::ChangeRequest change{ request.operation, { entry }, {} };
-      it.acceptor.Accept(change, "owner", [&request](const AcceptResult& aResult) {
-        request.result = aResult;
-      });
+      it.acceptor.Accept(
+        change, "owner", [&request](const AcceptResult& aResult) {
+          request.result = aResult;
+        });
     });
   }
   clock.RunFor(Milliseconds(120'000));
@@ -147,7 +156,8 @@
       CHECK(wrong.empty());
       bad += wrong.empty() ? 0 : 1;
     }
-    const std::string name = "operators race; platform: " + std::string(fault.name);
+    const std::string name =
+      "operators race; platform: " + std::string(fault.name);
     proof::Note("P3", name, kSeeds, bad, "acceptor race");
     proof::Note("P10", name, kSeeds, bad, "acceptor race");
   }
@@ -158,12 +168,14 @@
   FakeClock clock;
   SharedPlatform shared;
   Operator it(clock, shared, 1);
-  const auto accept = [&](std::vector<config::Entry> aEntries, const std::string& aOwner) {
+  const auto accept = [&](std::vector<config::Entry> aEntries,
+                          const std::string& aOwner) {
     AcceptResult result;
     static int operation = 0;
-    it.acceptor.Accept({ "op-" + std::to_string(++operation), std::move(aEntries), {} },
-                       aOwner,
-                       [&result](const AcceptResult& aResult) { result = aResult; });
+    it.acceptor.Accept(
+      { "op-" + std::to_string(++operation), std::move(aEntries), {} },
+      aOwner,
+      [&result](const AcceptResult& aResult) { result = aResult; });
     clock.RunFor(Milliseconds(5000));
     return result;
   };
@@ -177,8 +189,9 @@
     service.header.revision = 1;
     const auto result = accept({ service }, "swan");
     CHECK(result.outcome == AcceptOutcome::kForbidden);
-    CHECK(result.message.find("service/tonehouse belongs to owner \"coulee\"") !=
-          std::string::npos);
+    CHECK(
+      result.message.find("service/tonehouse belongs to owner \"coulee\"") !=
+      std::string::npos);
   }
   SECTION("an entry that changed meanwhile")
   {
@@ -193,8 +206,8 @@
     route.service = "missing";
     const auto result = accept({ route }, "coulee");
     CHECK(result.outcome == AcceptOutcome::kRefused);
-    CHECK(result.message ==
-          "route/fetch: refers to service \"missing\", which does not exist (version 2)");
+    CHECK(result.message == "route/fetch: refers to service \"missing\", which "
+                            "does not exist (version 2)");
   }
   CHECK(it.store.Version() == 1);
   CHECK(AcceptedChanges(shared).size() == 1);
--- a/tests/platform/ClaimBatcherTest.cpp
+++ b/tests/platform/ClaimBatcherTest.cpp
@@ -1,8 +1,8 @@
 // Callers repeat idempotency keys at several nodes while the platform fails.
 
+#include "knapweedpaddle/platform/ClaimBatcher.h"
 #include "fakes/FakePlatform.h"
 #include "knapweedpaddle/platform/CatalogueRows.h"
-#include "knapweedpaddle/platform/ClaimBatcher.h"
 #include "proof/ProofLog.h"
 
 #include <catch2/catch.hpp>
@@ -91,7 +91,8 @@
       bad += result.doubles > 0 ? 1 : 0;
     }
     proof::Note("P7",
-                "keys repeated at several nodes; platform: " + std::string(fault.name),
+                "keys repeated at several nodes; platform: " +
+                  std::string(fault.name),
                 kSeeds,
                 bad,
                 "claims");
@@ -105,9 +106,10 @@
   Node node(clock, shared, 1);
   int granted = 0;
   for (int n = 0; n < 100; ++n) {
-    node.claims.Claim("key-" + std::to_string(n), "call", [&granted](ClaimOutcome aOutcome) {
-      granted += aOutcome == ClaimOutcome::kGranted ? 1 : 0;
-    });
+    node.claims.Claim(
+      "key-" + std::to_string(n), "call", [&granted](ClaimOutcome aOutcome) {
+        granted += aOutcome == ClaimOutcome::kGranted ? 1 : 0;
+      });
   }
   node.claims.Tick(clock.Now());
   clock.RunFor(Milliseconds(100));
--- a/tests/processes/CallHistory.cpp
+++ b/tests/processes/CallHistory.cpp
@@ -42,14 +42,15 @@
         headers.push_back("Idempotency-Key: " + entry.key);
       }
     }
-    const Answer answer =
-      Ask("POST", "http://" + machine.CallerAddress() + path, nonce, headers, 3000);
+    const Answer answer = Ask(
+      "POST", "http://" + machine.CallerAddress() + path, nonce, headers, 3000);
     entry.callId = answer.callId;
     entry.outcome = answer.outcome;
     if (answer.outcome == "answered") {
       ++mAnswered;
-      entry.whole = answer.status == 200 && answer.body.ends_with("echo=" + nonce + "\n") &&
-                    answer.body.find("call=" + answer.callId + ".") != std::string::npos;
+      entry.whole =
+        answer.status == 200 && answer.body.ends_with("echo=" + nonce + "\n") &&
+        answer.body.find("call=" + answer.callId + ".") != std::string::npos;
     }
     const std::scoped_lock lock(mMutex);
     mEntries.push_back(entry);
--- a/tests/processes/ProcessTest.cpp
+++ b/tests/processes/ProcessTest.cpp
@@ -15,10 +15,14 @@
 
 namespace {
 
-constexpr int kConvergenceMs = 7000; ///< the target's time for a change to be in force
-constexpr int kStopMs = 11'000;      ///< drain timeout and a second
-const std::vector<std::string> kZones{ "regina-yard", "saskatoon-hall", "lethbridge-vault" };
-const std::string kCatalogue = std::string(KNAPWEED_SOURCE_DIR) + "/examples/coulee-chime.json";
+constexpr int kConvergenceMs =
+  7000; ///< the target's time for a change to be in force
+constexpr int kStopMs = 11'000; ///< drain timeout and a second
+const std::vector<std::string> kZones{ "regina-yard",
+                                       "saskatoon-hall",
+                                       "lethbridge-vault" };
+const std::string kCatalogue =
+  std::string(KNAPWEED_SOURCE_DIR) + "/examples/coulee-chime.json";
 
 void
 StartMachines(TestMesh& aMesh)
@@ -42,8 +46,9 @@
 CheckHistory(CallHistory& aHistory, const std::string& aFault)
 {
   const HistoryFaults faults = aHistory.Check();
-  WARN(aFault << ": " << faults.calls << " calls, " << faults.answered << " answered, "
-              << faults.notRun << " not-run, " << faults.unknown << " unknown");
+  WARN(aFault << ": " << faults.calls << " calls, " << faults.answered
+              << " answered, " << faults.notRun << " not-run, "
+              << faults.unknown << " unknown");
   CHECK(faults.answered > 0);
   CHECK(faults.notWhole == 0);
   CHECK(faults.falseNotRun == 0);
@@ -63,16 +68,20 @@
   const Answer lookup = Ask("GET", base + "/timetable/today");
   CHECK(lookup.status == 200);
   CHECK(lookup.outcome == "answered");
-  // This VM's own backend server is another service, so the call takes two nodes.
+  // This VM's own backend server is another service, so the call takes two
+  // nodes.
   const Answer check = Ask("GET", base + "/dispatch/status/bell-3");
   CHECK(check.status == 200);
   const Answer push = Ask("POST", base + "/dispatch/push/school-9", "ring");
   CHECK(push.body.ends_with("echo=ring\n"));
   CHECK(Ask("GET", base + "/nothing/here").outcome == "not-run");
-  CHECK(Ask("GET", base + "/timetable/x", "", { "Knapweed-Timeout-Ms: 0" }).outcome == "not-run");
-  CHECK(Ask("GET", base + "/timetable/x", "", { "Knapweed-Timeout-Ms: soon" }).status == 400);
+  CHECK(Ask("GET", base + "/timetable/x", "", { "Knapweed-Timeout-Ms: 0" })
+          .outcome == "not-run");
+  CHECK(Ask("GET", base + "/timetable/x", "", { "Knapweed-Timeout-Ms: soon" })
+          .status == 400);
   CHECK(Ask("POST", base + "/-/v1/changes", "{}").status == 401);
-  CHECK(Ask("GET", base + "/-/metrics").body.find("knapweed_calls_total") != std::string::npos);
+  CHECK(Ask("GET", base + "/-/metrics").body.find("knapweed_calls_total") !=
+        std::string::npos);
 
   CallHistory history(mesh, 4);
   Sleep(1000);
@@ -84,7 +93,8 @@
     graceful += it->node->Wait(kStopMs) == 0 ? 1 : 0;
   }
   CHECK(graceful == 6);
-  proof::Note("P9", "every node stopped under load", 6, 6 - graceful, "processes");
+  proof::Note(
+    "P9", "every node stopped under load", 6, 6 - graceful, "processes");
   CheckHistory(history, "every node stopped under load");
 }
 
@@ -100,16 +110,20 @@
   const auto left = std::chrono::system_clock::now();
   CHECK(leaving.node->Wait(kStopMs) == 0);
   Sleep(kLeaveBoundMs + 1000);
-  const auto bound = std::chrono::duration_cast<std::chrono::microseconds>(
-                       (left + std::chrono::milliseconds(kLeaveBoundMs)).time_since_epoch())
-                       .count();
+  const auto bound =
+    std::chrono::duration_cast<std::chrono::microseconds>(
+      (left + std::chrono::milliseconds(kLeaveBoundMs)).time_since_epoch())
+      .count();
   std::size_t late = 0;
-  std::ifstream file(mesh.Folder() + "/calls-" + std::to_string(leaving.basePort));
+  std::ifstream file(mesh.Folder() + "/calls-" +
+                     std::to_string(leaving.basePort));
   for (std::string line; std::getline(file, line);) {
-    late += line.starts_with("start ") && std::stoll(line.substr(6)) > bound ? 1 : 0;
+    late +=
+      line.starts_with("start ") && std::stoll(line.substr(6)) > bound ? 1 : 0;
   }
   CHECK(late == 0);
-  proof::Note("P8", "node stopped under load", 1, late > 0 ? 1 : 0, "processes");
+  proof::Note(
+    "P8", "node stopped under load", 1, late > 0 ? 1 : 0, "processes");
   CheckHistory(history, "node stopped under load");
 }
 
@@ -143,7 +157,9 @@
   StartMachines(mesh);
   CallHistory history(mesh, 6);
   Sleep(500);
-  Ask("POST", "http://" + mesh.machines[0]->BackendAddress() + "/fault", R"({"hang":true})");
+  Ask("POST",
+      "http://" + mesh.machines[0]->BackendAddress() + "/fault",
+      R"({"hang":true})");
   Ask("POST",
       "http://" + mesh.machines[3]->BackendAddress() + "/fault",
       R"({"die_unanswered":true})");
@@ -174,7 +190,8 @@
   CheckHistory(history, "platform down, losing answers, slow");
 }
 
-TEST_CASE("a move to a good version ends in time and a bad one is taken back", "[processes]")
+TEST_CASE("a move to a good version ends in time and a bad one is taken back",
+          "[processes]")
 {
   TestMesh mesh(17500);
   for (std::size_t n = 0; n < 6; ++n) {
@@ -215,7 +232,8 @@
   const int code = move.Wait(45'000);
   CHECK(code == (good ? 0 : 6));
   proof::Note("P4",
-              good ? "good version, real processes" : "bad version, real processes",
+              good ? "good version, real processes"
+                   : "bad version, real processes",
               1,
               code == (good ? 0 : 6) ? 0 : 1,
               "processes");
--- a/tests/processes/Processes.cpp
+++ b/tests/processes/Processes.cpp
@@ -49,6 +49,7 @@
                  const std::string& aLog)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aCommand.size() + 1);
   for (const auto& it : aCommand) {
     arguments.push_back(const_cast<char*>(it.c_str()));
   }
--- a/tests/runtime/NeverRepeatTest.cpp
+++ b/tests/runtime/NeverRepeatTest.cpp
@@ -27,7 +27,9 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    REQUIRE(bind(mSocket,
+                 reinterpret_cast<sockaddr*>(&address),
+                 sizeof(address)) == 0);
     listen(mSocket, 8);
     socklen_t size = sizeof(address);
     getsockname(mSocket, reinterpret_cast<sockaddr*>(&address), &size);
