Ask the peer whose table differs, and stop spreading what all know

Ruled out: fewer updates in a datagram, which slows the news of a failure. Change: a sync asks the one peer with another table and reads no rows; four messages from nodes with an equal table end the spreading of an update.

--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -63,6 +63,7 @@
 
 private:
   void ReadRows();
+  void Sync();
   void WriteRow();
   void JoinSome(std::vector<std::string> aAddresses);
   void OnRoundEnd();
@@ -73,6 +74,7 @@
   nodes::Membership mMembers;
   Backoff mBackoff;
   Timestamp mNextSync;
+  nodes::NodeId mSyncPeer = nodes::kNoNode; ///< whom to ask for its whole table
   std::uint32_t mOutstanding = 0;
   bool mRoundAnswered = false;
   bool mRowWritten = false;
--- a/include/knapweedpaddle/nodes/Membership.h
+++ b/include/knapweedpaddle/nodes/Membership.h
@@ -97,9 +97,12 @@
   /** Counts changes of the member table; equal values mean an equal table. */
   std::uint64_t Changes() const { return mChanges; }
 
-  /** True once after a member came back from the dead, so that a full sync is
-   * due. */
-  bool TakeSyncDue();
+  /**
+   * Returns once a member to ask for its whole table: after a member came back
+   * from the dead, or when others' tables keep differing with nothing left to
+   * spread.
+   */
+  std::optional<NodeId> TakeSyncPeer();
 
 private:
   struct Probe
@@ -128,7 +131,9 @@
   void ChangeLiveness(Member& aMember, Liveness aLiveness, Timestamp aNow);
   void NoteAlive(NodeId aNode, Timestamp aNow);
   void Remember(NodeId aNode, std::uint64_t aVersion);
-  void CompareTables(std::uint64_t aHash);
+  void CompareTables(NodeId aSender, std::uint64_t aHash);
+  void CountEqualTable();
+  std::uint32_t RetransmitLimit() const;
   std::uint64_t TableHash();
   void StartProbe(Timestamp aNow, std::vector<Datagram>& aOut);
   void AskOthers(std::vector<Datagram>& aOut);
@@ -157,7 +162,7 @@
   std::uint64_t mHash = 0; ///< of the table as of mHashedAt
   std::uint64_t mHashedAt = ~0ULL;
   std::uint32_t mMismatches = 0;
-  bool mSyncDue = false;
+  std::optional<NodeId> mSyncPeer;
 };
 
 } // namespace knapweedpaddle::nodes
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -53,7 +53,8 @@
 {
   const Timestamp now = mServices.scheduler.Now();
   Send(mMembers.Tick(now));
-  if (mMembers.TakeSyncDue()) {
+  if (const auto peer = mMembers.TakeSyncPeer()) {
+    mSyncPeer = *peer;
     // Spread over the members of both sides of a healed partition.
     const auto spread =
       static_cast<std::int64_t>(mMembers.Members().size() + 1) *
@@ -64,8 +65,27 @@
   }
   if (now >= mNextSync) {
     mNextSync = now + kSyncEvery;
-    ReadRows();
+    Sync();
+  }
+}
+
+void
+MemberAgent::Sync()
+{
+  const std::string address = LinkAddressOf(mSyncPeer);
+  mSyncPeer = nodes::kNoNode;
+  if (address.empty()) {
+    return;
   }
+  mServices.peers.Join(address,
+                       { mMembers.Self(), Liveness::kAlive },
+                       [this](const std::optional<nodes::JoinAnswer>& aAnswer) {
+                         if (aAnswer) {
+                           mMembers.Learn(aAnswer->members,
+                                          mServices.scheduler.Now());
+                           mServices.onJoinAnswer(*aAnswer);
+                         }
+                       });
 }
 
 void
--- a/src/nodes/Membership.cpp
+++ b/src/nodes/Membership.cpp
@@ -7,6 +7,14 @@
 
 namespace knapweedpaddle::nodes {
 
+namespace {
+
+/** Messages from nodes with an equal table after which nothing is left to
+ * spread. */
+constexpr std::uint32_t kEqualTablesToStop = 4;
+
+} // namespace
+
 Membership::Membership(MembershipOptions aOptions,
                        MemberRecord aSelf,
                        std::uint64_t aSeed)
@@ -74,7 +82,7 @@
   }
   Remember(aMessage.sender, aMessage.configVersion);
   NoteAlive(aMessage.sender, aNow);
-  CompareTables(aMessage.tableHash);
+  CompareTables(aMessage.sender, aMessage.tableHash);
 
   switch (aMessage.kind) {
     case GossipKind::kPing:
@@ -149,7 +157,7 @@
   if (IsNewer(record, member.record)) {
     if (member.liveness == Liveness::kDead &&
         aUpdate.liveness == Liveness::kAlive) {
-      mSyncDue = true;
+      mSyncPeer = record.node;
     }
     member = Member{ record, aUpdate.liveness, aNow };
     ++mChanges;
@@ -202,10 +210,10 @@
   return it == mRemembered.end() ? 0 : it->second;
 }
 
-bool
-Membership::TakeSyncDue()
+std::optional<NodeId>
+Membership::TakeSyncPeer()
 {
-  return std::exchange(mSyncDue, false);
+  return std::exchange(mSyncPeer, std::nullopt);
 }
 
 GossipMessage
@@ -230,7 +238,7 @@
     queue.emplace_back(sends, id);
   }
   std::ranges::sort(queue);
-  const std::uint32_t limit = mOptions.retransmitFactor * (SizeDigits() + 1);
+  const std::uint32_t limit = RetransmitLimit();
   for (const auto& [sends, id] : queue) {
     if (aMessage.updates.size() == mOptions.maxUpdates) {
       break;
@@ -268,7 +276,7 @@
 Membership::ChangeLiveness(Member& aMember, Liveness aLiveness, Timestamp aNow)
 {
   if (aMember.liveness == Liveness::kDead && aLiveness == Liveness::kAlive) {
-    mSyncDue = true;
+    mSyncPeer = aMember.record.node;
   }
   aMember.liveness = aLiveness;
   aMember.since = aNow;
@@ -304,16 +312,38 @@
 }
 
 void
-Membership::CompareTables(std::uint64_t aHash)
+Membership::CompareTables(NodeId aSender, std::uint64_t aHash)
 {
-  if (aHash == TableHash() || !mSpreading.empty()) {
+  if (aHash == TableHash()) {
+    mMismatches = 0;
+    CountEqualTable();
+    return;
+  }
+  if (!mSpreading.empty()) {
     mMismatches = 0;
     return;
   }
   if (++mMismatches >= mOptions.mismatchesToSync) {
     mMismatches = 0;
-    mSyncDue = true;
+    mSyncPeer = aSender;
+  }
+}
+
+void
+Membership::CountEqualTable()
+{
+  const std::uint32_t limit = RetransmitLimit();
+  for (auto& [id, sends] : mSpreading) {
+    sends += limit / kEqualTablesToStop;
   }
+  std::erase_if(mSpreading,
+                [limit](const auto& aItem) { return aItem.second >= limit; });
+}
+
+std::uint32_t
+Membership::RetransmitLimit() const
+{
+  return mOptions.retransmitFactor * (SizeDigits() + 1);
 }
 
 std::uint64_t
