Test links, slots and routing; count slots of checks apart

Cause: found by the new test: a slot kept for checks was kept free even while checks held theirs, so one slot of three stood idle. Busy slots are now counted by class. Links are cut after every third byte of an answer (233 cells), silenced and refused; eleven hops' retries stay under a tenth.

--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -62,8 +62,10 @@
                                 Timestamp aNow,
                                 SlotRefusal& aRefusal);
 
-  /** Gives a slot back and grants it to the next call. */
-  void Release(Milliseconds aServiceTime, Timestamp aNow);
+  /** Gives a slot of a call of a class back and grants it to the next call. */
+  void Release(config::CallClass aClass,
+               Milliseconds aServiceTime,
+               Timestamp aNow);
 
   /** Forgets a queued call; true when it was queued. */
   bool Abandon(std::uint64_t aId);
@@ -74,19 +76,21 @@
   /** Refuses all new and queued calls from now on. */
   void Drain();
 
-  std::uint32_t Busy() const { return mBusy; }
+  std::uint32_t Busy() const { return mChecksBusy + mOthersBusy; }
   std::uint32_t Slots() const { return mSlots; }
   std::size_t Queued() const { return mChecks.size() + mOthers.size(); }
 
 private:
   bool HasSlotFor(config::CallClass aClass) const;
+  std::uint32_t& BusyOf(config::CallClass aClass);
   Milliseconds ExpectedWait() const;
   void GrantNext(Timestamp aNow);
 
   std::uint32_t mCheckSlots;
   Granted mGranted;
   std::uint32_t mSlots = 0;
-  std::uint32_t mBusy = 0;
+  std::uint32_t mChecksBusy = 0;
+  std::uint32_t mOthersBusy = 0;
   double mServiceMs = 1; ///< moving average
   bool mDraining = false;
   std::deque<SlotRequest> mChecks;
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -100,9 +100,10 @@
       mHttp.Cancel(it->second.request);
     }
     const bool heldSlot = it->second.holdsSlot;
+    const auto callClass = it->second.call.callClass;
     mRunning.erase(it);
     if (heldSlot) {
-      mSlots.Release(Milliseconds(0), Now());
+      mSlots.Release(callClass, Milliseconds(0), Now());
     }
   }
 
@@ -165,12 +166,7 @@
 
   void OnSlot(RunId aRun)
   {
-    const auto it = mRunning.find(aRun);
-    if (it == mRunning.end()) {
-      mSlots.Release(Milliseconds(0), Now());
-      return;
-    }
-    Running& running = it->second;
+    Running& running = mRunning.at(aRun);
     running.holdsSlot = true;
     if (running.call.callClass != config::CallClass::kAtMostOnce ||
         running.call.idempotencyKey.empty()) {
@@ -329,7 +325,7 @@
         running.dispatched
           ? std::chrono::duration_cast<Milliseconds>(now - running.sentAt)
           : Milliseconds(0);
-      mSlots.Release(served, now);
+      mSlots.Release(running.call.callClass, served, now);
     }
     mServices.metrics.Count(
       "owner_calls_total",
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -34,7 +34,7 @@
     return std::nullopt;
   }
   if (HasSlotFor(aRequest.callClass)) {
-    ++mBusy;
+    ++BusyOf(aRequest.callClass);
     return Answer::kTaken;
   }
   if (Queued() >= kQueuePerSlot * mSlots) {
@@ -52,9 +52,12 @@
 }
 
 void
-SlotQueue::Release(Milliseconds aServiceTime, Timestamp aNow)
+SlotQueue::Release(config::CallClass aClass,
+                   Milliseconds aServiceTime,
+                   Timestamp aNow)
 {
-  mBusy -= mBusy > 0 ? 1 : 0;
+  std::uint32_t& busy = BusyOf(aClass);
+  busy -= busy > 0 ? 1 : 0;
   mServiceMs +=
     kServiceWeight * (static_cast<double>(aServiceTime.count()) - mServiceMs);
   GrantNext(aNow);
@@ -101,11 +104,17 @@
 bool
 SlotQueue::HasSlotFor(config::CallClass aClass) const
 {
-  const std::uint32_t kept =
-    aClass == config::CallClass::kCheck
-      ? 0
-      : std::min(mCheckSlots, mSlots > 1 ? mSlots - 1 : 0);
-  return mBusy + kept < mSlots;
+  if (Busy() >= mSlots) {
+    return false;
+  }
+  const std::uint32_t kept = std::min(mCheckSlots, mSlots - 1);
+  return aClass == config::CallClass::kCheck || mOthersBusy < mSlots - kept;
+}
+
+std::uint32_t&
+SlotQueue::BusyOf(config::CallClass aClass)
+{
+  return aClass == config::CallClass::kCheck ? mChecksBusy : mOthersBusy;
 }
 
 Milliseconds
@@ -124,7 +133,7 @@
     if (!queue->empty() && HasSlotFor(queue->front().callClass)) {
       const SlotRequest next = queue->front();
       queue->pop_front();
-      ++mBusy;
+      ++BusyOf(next.callClass);
       mGranted(next.id, std::nullopt);
       return;
     }
--- /dev/null
+++ b/tests/backends/SlotQueueTest.cpp
@@ -0,0 +1,85 @@
+#include "knapweedpaddle/backends/SlotQueue.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace knapweedpaddle;
+using namespace knapweedpaddle::backends;
+using config::CallClass;
+
+namespace {
+
+const Timestamp kNow{ std::chrono::hours(1) };
+const Timestamp kLater = kNow + std::chrono::seconds(10);
+
+struct Fixture
+{
+  explicit Fixture(std::uint32_t aCheckSlots)
+    : queue(aCheckSlots,
+            [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
+              granted.push_back(aId);
+              refusals[aId] = aRefusal;
+            })
+  {
+  }
+
+  std::optional<SlotQueue::Answer> Ask(std::uint64_t aId,
+                                       CallClass aClass,
+                                       Timestamp aDeadline)
+  {
+    return queue.Request({ aId, aClass, aDeadline }, kNow, refusal);
+  }
+
+  std::vector<std::uint64_t> granted;
+  std::map<std::uint64_t, std::optional<SlotRefusal>> refusals;
+  SlotRefusal refusal{};
+  SlotQueue queue;
+};
+
+} // namespace
+
+TEST_CASE("checks have slots of their own and go first", "[slots]")
+{
+  Fixture it(1);
+  it.queue.SetSlots(3);
+  CHECK(it.Ask(1, CallClass::kIdempotent, kLater) == SlotQueue::Answer::kTaken);
+  CHECK(it.Ask(2, CallClass::kAtMostOnce, kLater) == SlotQueue::Answer::kTaken);
+  CHECK(it.Ask(3, CallClass::kIdempotent, kLater) ==
+        SlotQueue::Answer::kQueued);
+  CHECK(it.Ask(4, CallClass::kCheck, kLater) == SlotQueue::Answer::kTaken);
+  CHECK(it.Ask(5, CallClass::kCheck, kLater) == SlotQueue::Answer::kQueued);
+  it.queue.Release(CallClass::kIdempotent, Milliseconds(5), kNow);
+  it.queue.Release(CallClass::kAtMostOnce, Milliseconds(5), kNow);
+  CHECK(it.granted == std::vector<std::uint64_t>{ 5, 3 });
+}
+
+TEST_CASE("a call that can't be served in time is refused at once", "[slots]")
+{
+  Fixture it(0);
+  it.queue.SetSlots(1);
+  REQUIRE(it.Ask(1, CallClass::kIdempotent, kLater) ==
+          SlotQueue::Answer::kTaken);
+  CHECK_FALSE(it.Ask(2, CallClass::kIdempotent, kNow).has_value());
+  CHECK(it.refusal == SlotRefusal::kDeadlineTooNear);
+  for (std::uint64_t n = 0; n < 4; ++n) {
+    CHECK(it.Ask(10 + n, CallClass::kIdempotent, kLater) ==
+          SlotQueue::Answer::kQueued);
+  }
+  CHECK_FALSE(it.Ask(20, CallClass::kIdempotent, kLater).has_value());
+  CHECK(it.refusal == SlotRefusal::kQueueFull);
+}
+
+TEST_CASE("draining refuses what waits and what comes", "[slots]")
+{
+  Fixture it(0);
+  it.queue.SetSlots(1);
+  REQUIRE(it.Ask(1, CallClass::kIdempotent, kLater) ==
+          SlotQueue::Answer::kTaken);
+  REQUIRE(it.Ask(2, CallClass::kIdempotent, kLater) ==
+          SlotQueue::Answer::kQueued);
+  it.queue.Drain();
+  CHECK(it.refusals[2] == SlotRefusal::kDraining);
+  CHECK_FALSE(it.Ask(3, CallClass::kCheck, kLater).has_value());
+  CHECK(it.refusal == SlotRefusal::kDraining);
+  CHECK(it.queue.Busy() == 1);
+}
--- /dev/null
+++ b/tests/nodes/LinkTest.cpp
@@ -0,0 +1,246 @@
+// Links under faults of real sockets: cut at every byte, silent, refused.
+
+#include "knapweedpaddle/nodes/CallCodec.h"
+#include "knapweedpaddle/nodes/LinkClient.h"
+#include "knapweedpaddle/nodes/LinkServer.h"
+#include "knapweedpaddle/runtime/EventLoop.h"
+#include "proof/ProofLog.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace knapweedpaddle;
+using namespace knapweedpaddle::nodes;
+
+namespace {
+
+const std::string kBody(300, 'b');
+
+sockaddr_in
+Loopback(std::uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+/** Forwards one connection and cuts or silences it after some bytes of answer. */
+class FaultyRelay
+{
+public:
+  FaultyRelay(std::uint16_t aTarget, std::size_t aAnswerBytes, bool aSilent)
+    : mTarget(aTarget)
+    , mAnswerBytes(aAnswerBytes)
+    , mSilent(aSilent)
+  {
+    mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = Loopback(0);
+    REQUIRE(bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    REQUIRE(listen(mListener, 4) == 0);
+    socklen_t size = sizeof(address);
+    getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size);
+    port = ntohs(address.sin_port);
+    mThread = std::thread([this] { Relay(); });
+  }
+
+  ~FaultyRelay()
+  {
+    mStop = true;
+    shutdown(mListener, SHUT_RDWR);
+    mThread.join();
+    close(mListener);
+  }
+
+  std::uint16_t port = 0;
+
+private:
+  void Relay()
+  {
+    const int client = accept(mListener, nullptr, nullptr);
+    if (client < 0) {
+      return;
+    }
+    const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = Loopback(mTarget);
+    std::size_t left = mAnswerBytes;
+    if (connect(server, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+      while (!mStop && Forward(client, server, left)) {
+      }
+    }
+    close(server);
+    close(client);
+  }
+
+  /** Forwards what is there; false at the end or when the cut is due. */
+  bool Forward(int aClient, int aServer, std::size_t& aLeft)
+  {
+    std::array<pollfd, 2> sockets{ { { aClient, POLLIN, 0 }, { aServer, POLLIN, 0 } } };
+    poll(sockets.data(), sockets.size(), 20);
+    std::array<char, 4096> buf{};
+    if (sockets[0].revents != 0) {
+      const ssize_t n = recv(aClient, buf.data(), buf.size(), 0);
+      if (n <= 0) {
+        return false;
+      }
+      send(aServer, buf.data(), static_cast<std::size_t>(n), MSG_NOSIGNAL);
+    }
+    if (sockets[1].revents != 0) {
+      const ssize_t n = recv(aServer, buf.data(), buf.size(), 0);
+      if (n <= 0) {
+        return false;
+      }
+      const std::size_t kept = std::min(aLeft, static_cast<std::size_t>(n));
+      send(aClient, buf.data(), kept, MSG_NOSIGNAL);
+      aLeft -= kept;
+      return aLeft > 0 || mSilent;
+    }
+    return true;
+  }
+
+  std::uint16_t mTarget;
+  std::size_t mAnswerBytes;
+  bool mSilent;
+  int mListener = -1;
+  std::atomic<bool> mStop{ false };
+  std::thread mThread;
+};
+
+struct Outcome
+{
+  bool answered = false;
+  bool whole = false;
+  LinkError error = LinkError::kBroken;
+  Milliseconds took{ 0 };
+};
+
+/** Sends one call over a link to a port and waits for its end. */
+Outcome
+CallOver(runtime::EventLoop& aLoop, std::uint16_t aPort)
+{
+  LinkClientOptions options;
+  options.pingEvery = Milliseconds(100);
+  options.pingTimeout = Milliseconds(100);
+  LinkClient client(aLoop, options);
+  backends::OwnedCall call;
+  call.callId = "call-1";
+  call.service = "svc";
+  call.body = kBody;
+  const Timestamp now = std::chrono::steady_clock::now();
+  call.deadline = now + Milliseconds(1500);
+  Outcome outcome;
+  client.Send("127.0.0.1:" + std::to_string(aPort),
+              EncodeCall(call, now),
+              [&](std::optional<LinkResponse> aResponse, const LinkReason& aReason) {
+                outcome.error = aReason.code;
+                if (aResponse) {
+                  const auto decoded = DecodeCallResult(std::move(*aResponse), "call-1");
+                  outcome.answered = decoded.has_value();
+                  outcome.whole = decoded && decoded->result.body == kBody;
+                }
+                aLoop.Stop();
+              });
+  aLoop.Run();
+  outcome.took = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - now);
+  return outcome;
+}
+
+/** Runs one call through a faulty relay to an echoing server. */
+Outcome
+CallThroughRelay(std::size_t aAnswerBytes, bool aSilent)
+{
+  runtime::EventLoop loop;
+  LinkServer server(loop, [](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
+    callers::CallResult result;
+    result.outcome = callers::CallOutcome::kAnswered;
+    result.status = 200;
+    result.callId = HeaderValue(aRequest.headers, "call-id");
+    result.body = aRequest.body;
+    aResponder->Respond(EncodeCallResult(result, 1));
+  });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  const FaultyRelay relay(*port, aAnswerBytes, aSilent);
+  return CallOver(loop, relay.port);
+}
+
+} // namespace
+
+TEST_CASE("a link cut at any byte gives a whole answer or none", "[links]")
+{
+  std::uint64_t cells = 0;
+  std::uint64_t bad = 0;
+  bool someAnswered = false;
+  for (std::size_t bytes = 1; bytes < 700; bytes += 3) {
+    const Outcome outcome = CallThroughRelay(bytes, false);
+    INFO("cut after " << bytes << " bytes");
+    CHECK(outcome.answered == outcome.whole);
+    someAnswered |= outcome.whole;
+    ++cells;
+    bad += outcome.answered == outcome.whole ? 0 : 1;
+  }
+  CHECK(someAnswered);
+  proof::Note("P5", "link cut mid-body", cells, bad, "links");
+}
+
+TEST_CASE("a link that goes silent is replaced long before the deadline", "[links]")
+{
+  std::uint64_t bad = 0;
+  for (const std::size_t bytes : { 20, 60, 120 }) {
+    const Outcome outcome = CallThroughRelay(bytes, true);
+    INFO("silent after " << bytes << " bytes");
+    CHECK_FALSE(outcome.answered);
+    CHECK(outcome.error == LinkError::kSilent);
+    CHECK(outcome.took < Milliseconds(1000));
+    bad += outcome.error == LinkError::kSilent ? 0 : 1;
+  }
+  proof::Note("P6", "link silent for good", 3, bad, "links");
+  proof::Note("P5", "link silent for good", 3, bad, "links");
+}
+
+TEST_CASE("a peer that refuses connections proves that nothing was sent", "[links]")
+{
+  runtime::EventLoop loop;
+  const Outcome outcome = CallOver(loop, 1);
+  CHECK(outcome.error == LinkError::kNotSent);
+  proof::Note("P6", "link refused", 1, outcome.error == LinkError::kNotSent ? 0 : 1, "links");
+}
+
+TEST_CASE("answers of other calls and cut bodies are not taken", "[links]")
+{
+  callers::CallResult result;
+  result.outcome = callers::CallOutcome::kAnswered;
+  result.status = 200;
+  result.callId = "call-1";
+  result.body = "ring";
+  const LinkResponse response = EncodeCallResult(result, 3);
+  CHECK(DecodeCallResult(response, "call-1")->busySlots == 3);
+  CHECK_FALSE(DecodeCallResult(response, "call-2").has_value());
+  LinkResponse cut = response;
+  cut.body = "rin";
+  CHECK_FALSE(DecodeCallResult(cut, "call-1").has_value());
+}
+
+TEST_CASE("a call of another protocol version or without fields is refused", "[links]")
+{
+  backends::OwnedCall call;
+  call.callId = "call-1";
+  const Timestamp now = std::chrono::steady_clock::now();
+  call.deadline = now + Milliseconds(100);
+  std::string reason;
+  LinkRequest request = EncodeCall(call, now);
+  REQUIRE(DecodeCall(request, now, reason).has_value());
+  request.headers[0].value = "2";
+  CHECK_FALSE(DecodeCall(request, now, reason).has_value());
+  CHECK(reason == "protocol version \"2\" is not known here");
+  request = EncodeCall(call, now);
+  request.body = "more than was said";
+  CHECK_FALSE(DecodeCall(request, now, reason).has_value());
+  CHECK_FALSE(DecodeCall(LinkRequest{}, now, reason).has_value());
+}
--- /dev/null
+++ b/tests/routing/RoutingTest.cpp
@@ -0,0 +1,111 @@
+#include "knapweedpaddle/routing/Picker.h"
+#include "knapweedpaddle/routing/RetryPolicy.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace knapweedpaddle;
+using namespace knapweedpaddle::routing;
+using config::CallClass;
+
+namespace {
+
+const Timestamp kNow{ std::chrono::hours(1) };
+
+RoutingView
+ViewOf(std::size_t aLocal, std::size_t aRemote)
+{
+  RoutingView view;
+  for (std::size_t n = 0; n < aLocal + aRemote; ++n) {
+    Target target;
+    target.node = nodes::NodeId{ n + 1 };
+    target.zone = n < aLocal ? "here" : "there";
+    target.version = "v1";
+    target.slots = 10;
+    view.targets["svc"].push_back(target);
+  }
+  return view;
+}
+
+std::size_t
+LocalPicks(Picker& aPicker, const RoutingView& aView, std::size_t aTries)
+{
+  std::size_t local = 0;
+  for (std::size_t n = 0; n < aTries; ++n) {
+    const Target* it = aPicker.Pick(aView, { "svc", "v1", "here", {} }, kNow);
+    local += it && it->zone == "here" ? 1 : 0;
+  }
+  return local;
+}
+
+} // namespace
+
+TEST_CASE("calls stay in the zone until it is busy", "[routing]")
+{
+  Picker picker(PickerOptions{}, 1);
+  const RoutingView view = ViewOf(2, 4);
+  CHECK(LocalPicks(picker, view, 100) == 100);
+  picker.ReportLoad(nodes::NodeId{ 1 }, 10, kNow);
+  picker.ReportLoad(nodes::NodeId{ 2 }, 10, kNow);
+  CHECK(LocalPicks(picker, view, 100) < 30);
+}
+
+TEST_CASE("a failing node is ejected, but never most of them", "[routing]")
+{
+  Picker picker(PickerOptions{}, 1);
+  const RoutingView view = ViewOf(3, 0);
+  const auto fail = [&picker](std::uint64_t aNode) {
+    for (int n = 0; n < 3; ++n) {
+      picker.Start(nodes::NodeId{ aNode });
+      picker.Finish(nodes::NodeId{ aNode }, false, kNow);
+    }
+  };
+  fail(1);
+  CHECK(picker.IsEjected(nodes::NodeId{ 1 }, kNow));
+  for (int n = 0; n < 50; ++n) {
+    CHECK(picker.Pick(view, { "svc", "v1", "here", {} }, kNow)->node != nodes::NodeId{ 1 });
+  }
+  fail(2);
+  std::map<nodes::NodeId, int> picks;
+  for (int n = 0; n < 200; ++n) {
+    ++picks[picker.Pick(view, { "svc", "v1", "here", {} }, kNow)->node];
+  }
+  CHECK(picks.size() == 3);
+  CHECK_FALSE(picker.IsEjected(nodes::NodeId{ 1 }, kNow + std::chrono::seconds(11)));
+}
+
+TEST_CASE("an at most once call that may have run is never sent again", "[routing]")
+{
+  RetryPolicy policy;
+  const Timestamp deadline = kNow + std::chrono::seconds(1);
+  CHECK(policy.Refuse({ CallClass::kAtMostOnce, TryOutcome::kUnknown, 1, deadline }, kNow) ==
+        RetryRefusal::kMayHaveRun);
+  CHECK_FALSE(
+    policy.Refuse({ CallClass::kAtMostOnce, TryOutcome::kNotRun, 1, deadline }, kNow).has_value());
+  CHECK(policy.Refuse({ CallClass::kIdempotent, TryOutcome::kUnknown, 1, kNow }, kNow) ==
+        RetryRefusal::kNoTimeLeft);
+  CHECK(policy.Refuse({ CallClass::kIdempotent, TryOutcome::kUnknown, 3, deadline }, kNow) ==
+        RetryRefusal::kTooManyTries);
+}
+
+TEST_CASE("retries are a tenth of calls, so eleven hops can't multiply", "[routing]")
+{
+  constexpr int kCalls = 10'000;
+  constexpr int kHops = 11;
+  // Every try of the last hop fails; each hop is one node's policy.
+  std::vector<RetryPolicy> hops(kHops);
+  int sent = 0;
+  for (int n = 0; n < kCalls; ++n) {
+    hops[kHops - 1].CountCall();
+    std::uint32_t tries = 1;
+    ++sent;
+    const Timestamp deadline = kNow + std::chrono::seconds(1);
+    while (!hops[kHops - 1].Refuse(
+      { CallClass::kIdempotent, TryOutcome::kUnknown, tries, deadline }, kNow)) {
+      ++tries;
+      ++sent;
+    }
+    // The hops above get an answer of their backend server and pass it on.
+  }
+  CHECK(sent <= kCalls * 1.1 + 20);
+}
