--- a/tests/nodes/LinkTest.cpp
+++ b/tests/nodes/LinkTest.cpp
@@ -31,7 +31,8 @@
   return address;
 }
 
-/** Forwards one connection and cuts or silences it after some bytes of answer. */
+/** Forwards one connection and cuts or silences it after some bytes of answer.
+ */
 class FaultyRelay
 {
 public:
@@ -42,7 +43,9 @@
   {
     mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = Loopback(0);
-    REQUIRE(bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    REQUIRE(bind(mListener,
+                 reinterpret_cast<sockaddr*>(&address),
+                 sizeof(address)) == 0);
     REQUIRE(listen(mListener, 4) == 0);
     socklen_t size = sizeof(address);
     getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size);
@@ -70,7 +73,9 @@
     const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = Loopback(mTarget);
     std::size_t left = mAnswerBytes;
-    if (connect(server, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+    if (connect(server,
+                reinterpret_cast<sockaddr*>(&address),
+                sizeof(address)) == 0) {
       while (!mStop && Forward(client, server, left)) {
       }
     }
@@ -81,7 +86,8 @@
   /** Forwards what is there; false at the end or when the cut is due. */
   bool Forward(int aClient, int aServer, std::size_t& aLeft)
   {
-    std::array<pollfd, 2> sockets{ { { aClient, POLLIN, 0 }, { aServer, POLLIN, 0 } } };
+    std::array<pollfd, 2> sockets{ { { aClient, POLLIN, 0 },
+                                     { aServer, POLLIN, 0 } } };
     poll(sockets.data(), sockets.size(), 20);
     std::array<char, 4096> buf{};
     if (sockets[0].revents != 0) {
@@ -135,19 +141,21 @@
   const Timestamp now = std::chrono::steady_clock::now();
   call.deadline = now + Milliseconds(1500);
   Outcome outcome;
-  client.Send("127.0.0.1:" + std::to_string(aPort),
-              EncodeCall(call, now),
-              [&](std::optional<LinkResponse> aResponse, const LinkReason& aReason) {
-                outcome.error = aReason.code;
-                if (aResponse) {
-                  const auto decoded = DecodeCallResult(std::move(*aResponse), "call-1");
-                  outcome.answered = decoded.has_value();
-                  outcome.whole = decoded && decoded->result.body == kBody;
-                }
-                aLoop.Stop();
-              });
+  client.Send(
+    "127.0.0.1:" + std::to_string(aPort),
+    EncodeCall(call, now),
+    [&](std::optional<LinkResponse> aResponse, const LinkReason& aReason) {
+      outcome.error = aReason.code;
+      if (aResponse) {
+        const auto decoded = DecodeCallResult(std::move(*aResponse), "call-1");
+        outcome.answered = decoded.has_value();
+        outcome.whole = decoded && decoded->result.body == kBody;
+      }
+      aLoop.Stop();
+    });
   aLoop.Run();
-  outcome.took = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - now);
+  outcome.took = std::chrono::duration_cast<Milliseconds>(
+    std::chrono::steady_clock::now() - now);
   return outcome;
 }
 
@@ -156,14 +164,15 @@
 CallThroughRelay(std::size_t aAnswerBytes, bool aSilent)
 {
   runtime::EventLoop loop;
-  LinkServer server(loop, [](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
-    callers::CallResult result;
-    result.outcome = callers::CallOutcome::kAnswered;
-    result.status = 200;
-    result.callId = HeaderValue(aRequest.headers, "call-id");
-    result.body = aRequest.body;
-    aResponder->Respond(EncodeCallResult(result, 1));
-  });
+  LinkServer server(
+    loop, [](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
+      callers::CallResult result;
+      result.outcome = callers::CallOutcome::kAnswered;
+      result.status = 200;
+      result.callId = HeaderValue(aRequest.headers, "call-id");
+      result.body = aRequest.body;
+      aResponder->Respond(EncodeCallResult(result, 1));
+    });
   const auto port = server.Listen("127.0.0.1", 0);
   REQUIRE(port.has_value());
   const FaultyRelay relay(*port, aAnswerBytes, aSilent);
@@ -189,7 +198,8 @@
   proof::Note("P5", "link cut mid-body", cells, bad, "links");
 }
 
-TEST_CASE("a link that goes silent is replaced long before the deadline", "[links]")
+TEST_CASE("a link that goes silent is replaced long before the deadline",
+          "[links]")
 {
   std::uint64_t bad = 0;
   for (const std::size_t bytes : { 20, 60, 120 }) {
@@ -204,12 +214,17 @@
   proof::Note("P5", "link silent for good", 3, bad, "links");
 }
 
-TEST_CASE("a peer that refuses connections proves that nothing was sent", "[links]")
+TEST_CASE("a peer that refuses connections proves that nothing was sent",
+          "[links]")
 {
   runtime::EventLoop loop;
   const Outcome outcome = CallOver(loop, 1);
   CHECK(outcome.error == LinkError::kNotSent);
-  proof::Note("P6", "link refused", 1, outcome.error == LinkError::kNotSent ? 0 : 1, "links");
+  proof::Note("P6",
+              "link refused",
+              1,
+              outcome.error == LinkError::kNotSent ? 0 : 1,
+              "links");
 }
 
 TEST_CASE("answers of other calls and cut bodies are not taken", "[links]")
@@ -227,7 +242,8 @@
   CHECK_FALSE(DecodeCallResult(cut, "call-1").has_value());
 }
 
-TEST_CASE("a call of another protocol version or without fields is refused", "[links]")
+TEST_CASE("a call of another protocol version or without fields is refused",
+          "[links]")
 {
   backends::OwnedCall call;
   call.callId = "call-1";
--- a/tests/routing/RoutingTest.cpp
+++ b/tests/routing/RoutingTest.cpp
@@ -63,7 +63,8 @@
   fail(1);
   CHECK(picker.IsEjected(nodes::NodeId{ 1 }, kNow));
   for (int n = 0; n < 50; ++n) {
-    CHECK(picker.Pick(view, { "svc", "v1", "here", {} }, kNow)->node != nodes::NodeId{ 1 });
+    CHECK(picker.Pick(view, { "svc", "v1", "here", {} }, kNow)->node !=
+          nodes::NodeId{ 1 });
   }
   fail(2);
   std::map<nodes::NodeId, int> picks;
@@ -71,24 +72,32 @@
     ++picks[picker.Pick(view, { "svc", "v1", "here", {} }, kNow)->node];
   }
   CHECK(picks.size() == 3);
-  CHECK_FALSE(picker.IsEjected(nodes::NodeId{ 1 }, kNow + std::chrono::seconds(11)));
+  CHECK_FALSE(
+    picker.IsEjected(nodes::NodeId{ 1 }, kNow + std::chrono::seconds(11)));
 }
 
-TEST_CASE("an at most once call that may have run is never sent again", "[routing]")
+TEST_CASE("an at most once call that may have run is never sent again",
+          "[routing]")
 {
   RetryPolicy policy;
   const Timestamp deadline = kNow + std::chrono::seconds(1);
-  CHECK(policy.Refuse({ CallClass::kAtMostOnce, TryOutcome::kUnknown, 1, deadline }, kNow) ==
-        RetryRefusal::kMayHaveRun);
+  CHECK(
+    policy.Refuse({ CallClass::kAtMostOnce, TryOutcome::kUnknown, 1, deadline },
+                  kNow) == RetryRefusal::kMayHaveRun);
   CHECK_FALSE(
-    policy.Refuse({ CallClass::kAtMostOnce, TryOutcome::kNotRun, 1, deadline }, kNow).has_value());
-  CHECK(policy.Refuse({ CallClass::kIdempotent, TryOutcome::kUnknown, 1, kNow }, kNow) ==
-        RetryRefusal::kNoTimeLeft);
-  CHECK(policy.Refuse({ CallClass::kIdempotent, TryOutcome::kUnknown, 3, deadline }, kNow) ==
-        RetryRefusal::kTooManyTries);
+    policy
+      .Refuse({ CallClass::kAtMostOnce, TryOutcome::kNotRun, 1, deadline },
+              kNow)
+      .has_value());
+  CHECK(policy.Refuse({ CallClass::kIdempotent, TryOutcome::kUnknown, 1, kNow },
+                      kNow) == RetryRefusal::kNoTimeLeft);
+  CHECK(
+    policy.Refuse({ CallClass::kIdempotent, TryOutcome::kUnknown, 3, deadline },
+                  kNow) == RetryRefusal::kTooManyTries);
 }
 
-TEST_CASE("retries are a tenth of calls, so eleven hops can't multiply", "[routing]")
+TEST_CASE("retries are a tenth of calls, so eleven hops can't multiply",
+          "[routing]")
 {
   constexpr int kCalls = 10'000;
   constexpr int kHops = 11;
@@ -101,7 +110,8 @@
     ++sent;
     const Timestamp deadline = kNow + std::chrono::seconds(1);
     while (!hops[kHops - 1].Refuse(
-      { CallClass::kIdempotent, TryOutcome::kUnknown, tries, deadline }, kNow)) {
+      { CallClass::kIdempotent, TryOutcome::kUnknown, tries, deadline },
+      kNow)) {
       ++tries;
       ++sent;
     }
