--- a/bench/MeasureMoves.cpp
+++ b/bench/MeasureMoves.cpp
@@ -49,12 +49,8 @@
   mesh.clock.RunFor(Milliseconds(5000));
 
   Convergence result;
-  std::uint64_t bytes = 0;
-  std::uint64_t messages = 0;
-  for (const auto& it : mesh.members) {
-    bytes += it.sentBytes;
-    messages += it.messages;
-  }
+  const double bytes = mesh.SentBytes();
+  const double messages = mesh.SentDatagrams();
   const Timestamp from = mesh.clock.Now();
   for (std::size_t n = 0; n < kChanges; ++n) {
     auto entries = BasicEntries("v1");
@@ -72,16 +68,10 @@
   }
   const double elapsed =
     std::chrono::duration<double>(mesh.clock.Now() - from).count();
-  for (const auto& it : mesh.members) {
-    result.bytesPerNodeSecond += static_cast<double>(it.sentBytes);
-    result.sentDatagramsPerNodeSecond += static_cast<double>(it.messages);
-  }
   const double nodeSeconds = elapsed * static_cast<double>(size);
-  result.bytesPerNodeSecond =
-    (result.bytesPerNodeSecond - static_cast<double>(bytes)) / nodeSeconds;
+  result.bytesPerNodeSecond = (mesh.SentBytes() - bytes) / nodeSeconds;
   result.sentDatagramsPerNodeSecond =
-    (result.sentDatagramsPerNodeSecond - static_cast<double>(messages)) /
-    nodeSeconds;
+    (mesh.SentDatagrams() - messages) / nodeSeconds;
   return result;
 }
 
--- a/bench/MeasureSlopes.cpp
+++ b/bench/MeasureSlopes.cpp
@@ -30,26 +30,6 @@
   double joinBytes = 0;       ///< one join answer
 };
 
-double
-SentBytes(const FakeMesh& aMesh)
-{
-  double sum = 0;
-  for (const auto& it : aMesh.members) {
-    sum += static_cast<double>(it.sentBytes);
-  }
-  return sum;
-}
-
-double
-Messages(const FakeMesh& aMesh)
-{
-  double sum = 0;
-  for (const auto& it : aMesh.members) {
-    sum += static_cast<double>(it.messages);
-  }
-  return sum;
-}
-
 Sample
 MeasureSize(std::size_t aSize)
 {
@@ -68,16 +48,17 @@
   Sample sample;
   const auto size = static_cast<double>(aSize);
   const double seconds = std::chrono::duration<double>(kIdle).count();
-  const double idleBefore = SentBytes(mesh);
-  const double messagesBefore = Messages(mesh);
+  const double idleBefore = mesh.SentBytes();
+  const double messagesBefore = mesh.SentDatagrams();
   const auto readsBefore = mesh.shared.reads;
   const std::clock_t cpuBefore = std::clock();
   mesh.clock.RunFor(kIdle);
   const double cpu =
     static_cast<double>(std::clock() - cpuBefore) / CLOCKS_PER_SEC;
-  const double idle = SentBytes(mesh) - idleBefore;
+  const double idle = mesh.SentBytes() - idleBefore;
   sample.idleBytes = idle / size / seconds;
-  sample.idleMessages = (Messages(mesh) - messagesBefore) / size / seconds;
+  sample.idleMessages =
+    (mesh.SentDatagrams() - messagesBefore) / size / seconds;
   sample.reads = static_cast<double>(mesh.shared.reads - readsBefore) / seconds;
   sample.cpuMicroseconds = cpu * 1e6 / size / seconds;
 
@@ -85,12 +66,12 @@
   for (auto& it : entries) {
     config::HeaderOf(it).revision = 1;
   }
-  const double changeBefore = SentBytes(mesh);
+  const double changeBefore = mesh.SentBytes();
   const Timestamp asked = mesh.clock.Now();
   mesh.Accept(mesh.members[1], "second", entries);
   mesh.clock.RunFor(Milliseconds(10'000));
   sample.changeBytes =
-    (SentBytes(mesh) - changeBefore) / size - sample.idleBytes * 10;
+    (mesh.SentBytes() - changeBefore) / size - sample.idleBytes * 10;
   for (const auto& it : mesh.members) {
     const double took =
       std::chrono::duration<double>(it.servedSince - asked).count();
@@ -98,11 +79,11 @@
       std::max(sample.convergence, mesh.AllServe(2) ? took : 99.0);
   }
 
-  const double restartBefore = SentBytes(mesh);
+  const double restartBefore = mesh.SentBytes();
   mesh.Start(mesh.members[2]);
   mesh.clock.RunFor(Milliseconds(60'000));
   sample.restartBytes =
-    SentBytes(mesh) - restartBefore - sample.idleBytes * size * 60;
+    mesh.SentBytes() - restartBefore - sample.idleBytes * size * 60;
   nodes::JoinAnswer answer;
   answer.members = mesh.members[0].core->Members().Everything();
   sample.joinBytes =
--- a/bench/MeasureStorm.cpp
+++ b/bench/MeasureStorm.cpp
@@ -15,16 +15,6 @@
 constexpr Milliseconds kInterval{ 20'000 };
 const std::vector<std::string> kZones{ "a1", "a2", "a3", "b1", "b2", "b3" };
 
-double
-SentBytes(const FakeMesh& aMesh)
-{
-  double sum = 0;
-  for (const auto& it : aMesh.members) {
-    sum += static_cast<double>(it.sentBytes);
-  }
-  return sum;
-}
-
 /** Returns how many other members the least informed node knows. */
 std::size_t
 SmallestTable(const FakeMesh& aMesh)
@@ -49,12 +39,12 @@
     "platform reads/s |\n|---|---|---|---|---|\n");
   const double seconds = std::chrono::duration<double>(kInterval).count();
   for (Milliseconds done{ 0 }; done < aTime; done += kInterval) {
-    const double bytes = SentBytes(mesh);
+    const double bytes = mesh.SentBytes();
     const std::uint64_t reads = mesh.shared.reads;
     mesh.clock.RunFor(kInterval);
     std::printf("| %lld | %.0f | %zu | %zu | %.1f |\n",
                 static_cast<long long>((done + kInterval).count() / 1000),
-                (SentBytes(mesh) - bytes) / static_cast<double>(aSize) /
+                (mesh.SentBytes() - bytes) / static_cast<double>(aSize) /
                   seconds,
                 mesh.ServingCount(),
                 SmallestTable(mesh),
--- a/tests/fakes/FakeMesh.cpp
+++ b/tests/fakes/FakeMesh.cpp
@@ -3,6 +3,8 @@
 #include "knapweedpaddle/config/EntryCodec.h"
 #include "knapweedpaddle/platform/CatalogueRows.h"
 
+#include <numeric>
+
 namespace knapweedpaddle::fakes {
 
 namespace {
@@ -325,6 +327,28 @@
     }));
 }
 
+double
+FakeMesh::SentBytes() const
+{
+  return std::accumulate(members.begin(),
+                         members.end(),
+                         0.0,
+                         [](double aSum, const NodeState& aNode) {
+                           return aSum + static_cast<double>(aNode.sentBytes);
+                         });
+}
+
+double
+FakeMesh::SentDatagrams() const
+{
+  return std::accumulate(members.begin(),
+                         members.end(),
+                         0.0,
+                         [](double aSum, const NodeState& aNode) {
+                           return aSum + static_cast<double>(aNode.messages);
+                         });
+}
+
 FakeMesh::NodeState*
 FakeMesh::Find(nodes::NodeId aId)
 {
--- a/tests/fakes/FakeMesh.h
+++ b/tests/fakes/FakeMesh.h
@@ -74,6 +74,12 @@
 
   std::size_t ServingCount() const;
 
+  /** Bytes that all nodes sent since they were added. */
+  double SentBytes() const;
+
+  /** Datagrams that all nodes sent since they were added. */
+  double SentDatagrams() const;
+
   FakeClock clock;
   SharedPlatform shared;
   std::deque<NodeState> members;
--- a/tests/processes/Processes.cpp
+++ b/tests/processes/Processes.cpp
@@ -3,6 +3,7 @@
 #include "knapweedpaddle/runtime/EventLoop.h"
 #include "knapweedpaddle/runtime/HttpClient.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <fcntl.h>
@@ -43,6 +44,23 @@
   return true;
 }
 
+/** True when the status of every running node satisfies a condition. */
+template<typename Condition>
+bool
+AllRunning(const std::vector<std::unique_ptr<Machine>>& aMachines,
+           Condition aCondition)
+{
+  return std::ranges::all_of(aMachines, [&](const auto& aMachine) {
+    if (!aMachine->node || aMachine->node->Id() <= 0) {
+      return true;
+    }
+    const Answer answer =
+      Ask("GET", "http://" + aMachine->CallerAddress() + "/-/v1/status");
+    const Json status = Json::parse(answer.body, nullptr, false);
+    return status.is_object() && aCondition(status);
+  });
+}
+
 } // namespace
 
 Process::Process(const std::vector<std::string>& aCommand,
@@ -206,19 +224,9 @@
 TestMesh::AwaitVersion(std::uint64_t aVersion, int aTimeoutMs)
 {
   return Await(aTimeoutMs, [&] {
-    for (const auto& it : machines) {
-      if (!it->node || it->node->Id() <= 0) {
-        continue;
-      }
-      const Answer answer =
-        Ask("GET", "http://" + it->CallerAddress() + "/-/v1/status");
-      const Json json = Json::parse(answer.body, nullptr, false);
-      if (!json.is_object() || !json["serving"].get<bool>() ||
-          json["version"] < aVersion) {
-        return false;
-      }
-    }
-    return true;
+    return AllRunning(machines, [aVersion](const Json& aStatus) {
+      return aStatus["serving"].get<bool>() && aStatus["version"] >= aVersion;
+    });
   });
 }
 
@@ -226,26 +234,14 @@
 TestMesh::AwaitServers(std::size_t aCount, int aTimeoutMs)
 {
   return Await(aTimeoutMs, [&] {
-    for (const auto& it : machines) {
-      if (!it->node || it->node->Id() <= 0) {
-        continue;
-      }
-      const Answer answer =
-        Ask("GET", "http://" + it->CallerAddress() + "/-/v1/status");
-      const Json json = Json::parse(answer.body, nullptr, false);
+    return AllRunning(machines, [aCount](const Json& aStatus) {
       std::size_t serving = 0;
-      if (json.is_object()) {
-        for (const auto& member : json["members"]) {
-          serving +=
-            member["state"] == "serving" && member["liveness"] == "alive" ? 1
-                                                                          : 0;
-        }
-      }
-      if (serving != aCount) {
-        return false;
+      for (const auto& it : aStatus["members"]) {
+        serving +=
+          it["state"] == "serving" && it["liveness"] == "alive" ? 1 : 0;
       }
-    }
-    return true;
+      return serving == aCount;
+    });
   });
 }
 
