Merge twins, index the routes once a view, drop what nothing used

The wall clock in microseconds stood in four files, lower-casing and hexadecimal digests in two each; FindRoute walked the whole catalogue on every call; four members had no reader. Ruled out: one base class for the enum name tables and the test fixtures, which are alike in shape alone; a wider header for two lines. The gain of the index was not measured.

--- a/include/knapweedpaddle/common/Time.h
+++ b/include/knapweedpaddle/common/Time.h
@@ -25,4 +25,14 @@
     .count();
 }
 
+/** Microseconds since the Unix epoch, as spans carry. Thread safety: any
+ * thread. */
+inline std::int64_t
+WallMicroseconds()
+{
+  return std::chrono::duration_cast<Microseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 } // namespace knapweedpaddle
--- a/include/knapweedpaddle/moves/ZoneJudge.h
+++ b/include/knapweedpaddle/moves/ZoneJudge.h
@@ -12,7 +12,6 @@
 /** What the judge has to say of one move in its zone. */
 struct MoveOpinion
 {
-  std::string move;
   std::uint32_t stage = 0;
   bool late = false;                 ///< can't be done by its time any more
   std::vector<std::string> unproven; ///< routes with too few calls to judge
--- a/include/knapweedpaddle/node/ServingGate.h
+++ b/include/knapweedpaddle/node/ServingGate.h
@@ -47,9 +47,6 @@
 
   bool IsOpen() const { return mOpen; }
 
-  /** The lowest version that the node may serve, as far as is known. */
-  std::uint64_t Floor() const { return mFloor; }
-
 private:
   bool mOpen = false;
   Timestamp mBegan{};
--- a/include/knapweedpaddle/routing/RoutingView.h
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -36,7 +36,14 @@
  * once shared. */
 struct RoutingView
 {
+  RoutingView() = default;
+
+  /** Indexes the routes of a configuration. */
+  explicit RoutingView(config::SnapshotPtr aConfig);
+
   config::SnapshotPtr config;
+  std::vector<const config::RouteEntry*>
+    routes; ///< of config, longest prefix first
   std::map<std::string, std::vector<Target>> targets; ///< by service
   std::map<std::string, VersionShare> shares;         ///< by service
   bool open = false; ///< the node holds a configuration that it may serve
--- a/include/knapweedpaddle/telemetry/Tracer.h
+++ b/include/knapweedpaddle/telemetry/Tracer.h
@@ -63,7 +63,6 @@
   std::string TakeBatch();
 
   std::uint64_t Dropped() const { return mDropped; }
-  void CountDropped(std::uint64_t aCount) { mDropped += aCount; }
 
 private:
   std::string RandomHex(std::size_t aDigits);
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -52,7 +52,6 @@
     bool holdsSlot = false;
     bool dispatched = false;
     runtime::HttpClient::RequestId request = 0;
-    Timestamp received;
     Timestamp sentAt;
     std::int64_t sentAtWallMicroseconds = 0;
   };
@@ -84,7 +83,6 @@
     Running& running = mRunning[id];
     running.call = std::move(aCall);
     running.callback = std::move(aCallback);
-    running.received = Now();
     Admit(id);
     return id;
   }
@@ -116,13 +114,6 @@
 private:
   static Timestamp Now() { return std::chrono::steady_clock::now(); }
 
-  static std::int64_t WallMicroseconds()
-  {
-    return std::chrono::duration_cast<Microseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-  }
-
   void Admit(RunId aRun)
   {
     const auto it = mRunning.find(aRun);
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -32,14 +32,6 @@
   return notRun ? TryOutcome::kNotRun : TryOutcome::kUnknown;
 }
 
-std::int64_t
-WallMicroseconds()
-{
-  return std::chrono::duration_cast<Microseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 } // namespace
 
 class CallForwarder::Impl
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/callers/CallerServer.h"
 
+#include "knapweedpaddle/common/Text.h"
 #include <algorithm>
 #include <charconv>
 #include <pistache/endpoint.h>
@@ -23,15 +24,6 @@
 constexpr const char* kTimeoutHeader = "knapweed-timeout-ms";
 constexpr const char* kTraceHeader = "traceparent";
 
-std::string
-LowerCase(std::string aText)
-{
-  std::ranges::transform(aText, aText.begin(), [](unsigned char aLetter) {
-    return std::tolower(aLetter);
-  });
-  return aText;
-}
-
 std::vector<HttpHeader>
 HeadersOf(const Request& aRequest)
 {
--- a/src/config/Snapshot.cpp
+++ b/src/config/Snapshot.cpp
@@ -1,9 +1,8 @@
 #include "knapweedpaddle/config/Snapshot.h"
 
+#include "knapweedpaddle/common/Text.h"
 #include "knapweedpaddle/config/EntryCodec.h"
 
-#include <array>
-#include <cstdio>
 #include <xxhash.h>
 
 namespace knapweedpaddle::config {
@@ -42,13 +41,7 @@
   const XXH128_hash_t hash = XXH3_128bits_digest(state);
   XXH3_freeState(state);
 
-  std::array<char, 33> buf{};
-  std::snprintf(buf.data(),
-                buf.size(),
-                "%016llx%016llx",
-                static_cast<unsigned long long>(hash.high64),
-                static_cast<unsigned long long>(hash.low64));
-  return buf.data();
+  return HexDigits(hash.high64, hash.low64);
 }
 
 Snapshot
--- a/src/moves/ZoneJudge.cpp
+++ b/src/moves/ZoneJudge.cpp
@@ -140,7 +140,6 @@
     }
     const std::string verdict = Test(item, *move);
     MoveOpinion& opinion = opinions[id.name];
-    opinion.move = id.name;
     opinion.stage = stage;
     opinion.late = IsLate(*move, stage, aNow);
     opinion.suspicion = Suspicion(item);
--- a/src/node/ControlCore.cpp
+++ b/src/node/ControlCore.cpp
@@ -233,8 +233,7 @@
   if (mPauses.TakePause(mServices.scheduler.Now())) {
     OnPause();
   }
-  auto view = std::make_shared<routing::RoutingView>();
-  view->config = mConfig.Store().Current();
+  auto view = std::make_shared<routing::RoutingView>(mConfig.Store().Current());
   view->open = IsServing();
   view->shares = mMoves.Board().Shares(*view->config, Members().Self().zone);
   const auto add = [&view](const MemberRecord& aRecord, bool aSuspect) {
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -162,9 +162,7 @@
   const auto parent = call->trace;
   call->trace = mServices.tracer.Child(parent);
   const auto span = call->trace;
-  const auto startWall = std::chrono::duration_cast<Microseconds>(
-                           std::chrono::system_clock::now().time_since_epoch())
-                           .count();
+  const std::int64_t startWall = WallMicroseconds();
   const auto run = mOwner.Run(
     std::move(*call),
     [this, aResponder, parent, span, now, startWall](
--- a/src/platform/CatalogueRows.cpp
+++ b/src/platform/CatalogueRows.cpp
@@ -1,5 +1,7 @@
 #include "knapweedpaddle/platform/CatalogueRows.h"
 
+#include "knapweedpaddle/common/Text.h"
+
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -30,13 +32,7 @@
 {
   const XXH128_hash_t hash =
     XXH3_128bits(aIdempotencyKey.data(), aIdempotencyKey.size());
-  std::array<char, 48> buf{};
-  std::snprintf(buf.data(),
-                buf.size(),
-                "claim/%016llx%016llx",
-                static_cast<unsigned long long>(hash.high64),
-                static_cast<unsigned long long>(hash.low64));
-  return buf.data();
+  return "claim/" + HexDigits(hash.high64, hash.low64);
 }
 
 std::string
--- a/src/routing/RoutingView.cpp
+++ b/src/routing/RoutingView.cpp
@@ -1,19 +1,29 @@
 #include "knapweedpaddle/routing/RoutingView.h"
 
+#include <algorithm>
+
 namespace knapweedpaddle::routing {
 
-const config::RouteEntry*
-RoutingView::FindRoute(const std::string& aPath) const
+RoutingView::RoutingView(config::SnapshotPtr aConfig)
+  : config(std::move(aConfig))
 {
-  const config::RouteEntry* best = nullptr;
   for (const auto& [id, entry] : config->entries) {
-    const auto* route = std::get_if<config::RouteEntry>(&entry);
-    if (route && aPath.starts_with(route->pathPrefix) &&
-        (!best || route->pathPrefix.size() > best->pathPrefix.size())) {
-      best = route;
+    if (const auto* route = std::get_if<config::RouteEntry>(&entry)) {
+      routes.push_back(route);
     }
   }
-  return best;
+  std::ranges::sort(routes, std::ranges::greater{}, [](const auto* aRoute) {
+    return aRoute->pathPrefix.size();
+  });
+}
+
+const config::RouteEntry*
+RoutingView::FindRoute(const std::string& aPath) const
+{
+  const auto it = std::ranges::find_if(routes, [&aPath](const auto* aRoute) {
+    return aPath.starts_with(aRoute->pathPrefix);
+  });
+  return it == routes.end() ? nullptr : *it;
 }
 
 std::vector<std::string>
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/runtime/HttpClient.h"
 
+#include "knapweedpaddle/common/Text.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
 
 #include <algorithm>
@@ -21,15 +22,6 @@
   static_cast<void>(kResult);
 }
 
-std::string
-LowerCase(std::string aText)
-{
-  std::ranges::transform(aText, aText.begin(), [](unsigned char aLetter) {
-    return std::tolower(aLetter);
-  });
-  return aText;
-}
-
 HttpError
 ErrorFor(CURLcode aResult, bool aSent)
 {
--- a/tests/routing/RoutingTest.cpp
+++ b/tests/routing/RoutingTest.cpp
@@ -119,3 +119,18 @@
   }
   CHECK(sent <= kCalls * 1.1 + 20);
 }
+
+TEST_CASE("the route with the longest prefix takes a path", "[routing]")
+{
+  auto snapshot = std::make_shared<config::Snapshot>();
+  for (const char* prefix : { "/a/", "/a/long/", "/b/" }) {
+    config::RouteEntry route;
+    route.header.name = prefix;
+    route.pathPrefix = prefix;
+    snapshot->entries[{ config::EntryKind::kRoute, prefix }] = route;
+  }
+  const RoutingView view(snapshot);
+  CHECK(view.FindRoute("/a/long/x")->pathPrefix == "/a/long/");
+  CHECK(view.FindRoute("/a/x")->pathPrefix == "/a/");
+  CHECK(view.FindRoute("/c/x") == nullptr);
+}
--- a/tests/standins/BackendStandin.cpp
+++ b/tests/standins/BackendStandin.cpp
@@ -56,14 +56,6 @@
   return raw ? raw->value() : std::string();
 }
 
-std::int64_t
-WallMicroseconds()
-{
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 /** State of the server; answers come from the event loop after the service
  * time. */
 class Backend
