--- a/apps/knapweedd/main.cpp
+++ b/apps/knapweedd/main.cpp
@@ -1,3 +1,4 @@
+#include "RowStore.h"
 #include "knapweedpaddle/node/Node.h"
 #include "knapweedpaddle/settings/NodeSettings.h"
 #include "knapweedpaddle/telemetry/Log.h"
@@ -27,5 +28,5 @@
     return kBadSettings;
   }
   telemetry::StartLog(*ValueOf(telemetry::kLogLevelNames, parsed->logLevel));
-  return node::Node(*parsed).Run();
+  return node::Node(*parsed, platform::RowStore::Factory()).Run();
 }
--- a/include/knapweedpaddle/backends/CallOwner.h
+++ b/include/knapweedpaddle/backends/CallOwner.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "knapweedpaddle/backends/BackendDialect.h"
 #include "knapweedpaddle/backends/ClaimService.h"
+#include "knapweedpaddle/backends/ServerLoad.h"
 #include "knapweedpaddle/backends/SlotQueue.h"
 #include "knapweedpaddle/callers/Call.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
-#include "knapweedpaddle/runtime/HttpClient.h"
 #include "knapweedpaddle/telemetry/Metrics.h"
 #include "knapweedpaddle/telemetry/Tracer.h"
 
@@ -19,9 +20,11 @@
 {
   std::string callId;
   std::string service;
-  std::string version;
+  std::string version; ///< a routing::VersionSelector
   std::string route;
   config::CallClass callClass = config::CallClass::kIdempotent;
+  std::uint32_t priority = 0;
+  std::uint64_t configVersion = 0; ///< by which the call was routed
   std::string idempotencyKey;
   Timestamp deadline;
   Milliseconds slowAfter{ 100 };
@@ -39,6 +42,7 @@
   std::string service;
   std::string version;
   std::uint32_t slots = 0;
+  std::string id{}; ///< of this start of the server, or empty
 
   bool operator==(const BackendServer&) const = default;
 };
@@ -80,6 +84,7 @@
     ClaimService& claims;
     telemetry::Metrics& metrics;
     telemetry::Tracer& tracer;
+    BackendDialect dialect;
   };
 
   CallOwner(Services aServices, std::uint32_t aCheckSlots);
@@ -87,7 +92,7 @@
   CallOwner(const CallOwner&) = delete;
   CallOwner& operator=(const CallOwner&) = delete;
 
-  /** Sets the backend server, or nothing when its announcements ceased. */
+  /** Sets the backend server, or nothing when it takes no more calls. */
   void SetBackend(std::optional<BackendServer> aBackend);
 
   using RunId = std::uint64_t;
@@ -104,7 +109,7 @@
   /** Number of calls not answered yet. */
   std::size_t InFlight() const;
 
-  std::uint32_t BusySlots() const;
+  ServerLoad Load() const;
 
   const EvidenceTable& Evidence() const;
 
--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -29,13 +29,14 @@
   std::uint64_t id = 0; ///< unique among the calls present
   config::CallClass callClass = config::CallClass::kIdempotent;
   Timestamp deadline;
+  std::uint32_t priority = 0; ///< 0 first
 };
 
 /**
  * Admits calls to the backend server's slots. Some slots are kept for calls of
- * class check, which also wait before all others. A call is refused at once
- * when the wait that the recent service time suggests would outlast its
- * deadline.
+ * class check, which also wait before all others; the others wait by priority.
+ * A call is refused at once when the wait that the recent service time suggests
+ * would outlast its deadline.
  *
  * Thread safety: the traffic thread only.
  */
@@ -48,7 +49,10 @@
 
   SlotQueue(std::uint32_t aCheckSlots, Granted aGranted);
 
-  /** Sets the number of slots; 0 while no backend server is known. */
+  /**
+   * Sets the number of slots; 0 while no backend server is known, which also
+   * refuses what waits.
+   */
   void SetSlots(std::uint32_t aSlots);
 
   enum class Answer
@@ -62,9 +66,13 @@
                                 Timestamp aNow,
                                 SlotRefusal& aRefusal);
 
-  /** Gives a slot of a call of a class back and grants it to the next call. */
+  /**
+   * Gives a slot of a call of a class back and grants it to the next call.
+   *
+   * @param aServiceTime  nothing for a call that the server did not end.
+   */
   void Release(config::CallClass aClass,
-               Milliseconds aServiceTime,
+               std::optional<Milliseconds> aServiceTime,
                Timestamp aNow);
 
   /** Forgets a queued call; true when it was queued. */
@@ -78,12 +86,15 @@
 
   std::uint32_t Busy() const { return mChecksBusy + mOthersBusy; }
   std::uint32_t Slots() const { return mSlots; }
+  /** Returns the moving average of a call's time at the backend server. */
+  double ServiceMs() const { return mServiceMs; }
   std::size_t Queued() const { return mChecks.size() + mOthers.size(); }
 
 private:
   bool HasSlotFor(config::CallClass aClass) const;
   std::uint32_t& BusyOf(config::CallClass aClass);
-  Milliseconds ExpectedWait() const;
+  Milliseconds ExpectedWait(const SlotRequest& aRequest) const;
+  void RefuseQueued();
   void GrantNext(Timestamp aNow);
 
   std::uint32_t mCheckSlots;
@@ -91,7 +102,8 @@
   std::uint32_t mSlots = 0;
   std::uint32_t mChecksBusy = 0;
   std::uint32_t mOthersBusy = 0;
-  double mServiceMs = 1; ///< moving average
+  double mServiceMs = 0; ///< moving average
+  double mServed = 0;    ///< calls in it, up to its span
   bool mDraining = false;
   std::deque<SlotRequest> mChecks;
   std::deque<SlotRequest> mOthers;
--- a/include/knapweedpaddle/callers/Call.h
+++ b/include/knapweedpaddle/callers/Call.h
@@ -18,12 +18,15 @@
 struct CallRequest
 {
   std::string method;
+  std::string host; ///< in lower case, without a port
   std::string path; ///< with its query
-  std::vector<HttpHeader> headers;
+  std::vector<HttpHeader> headers; ///< those that are passed on
   std::string body;
   std::string idempotencyKey;
   std::string traceparent;
   std::optional<Milliseconds> timeout; ///< asked for by the caller
+  Timestamp receivedAt{};              ///< of its last byte
+  std::string callId;                  ///< the caller's, or empty
 };
 
 enum class CallOutcome
@@ -45,8 +48,12 @@
   int status = 0;
   std::vector<HttpHeader> headers;
   std::string body;
+  std::string phrase; ///< of the status line, with kAnswered
   std::string reason; ///< why there is no answer
   std::string callId;
+  bool arrived = false; ///< with kNotRun: the backend server itself refused
+  bool routeMissing = false; ///< with kNotRun: no route matches
+  std::optional<Milliseconds> retryAfter; ///< with kNotRun
 };
 
 using CallCallback = std::function<void(CallResult)>;
--- a/include/knapweedpaddle/callers/CallForwarder.h
+++ b/include/knapweedpaddle/callers/CallForwarder.h
@@ -45,8 +45,15 @@
   /** Refuses calls until the next view is set. */
   void Close();
 
-  /** Forwards a call; the callback runs once. */
-  void Forward(CallRequest aRequest, CallCallback aCallback);
+  using CancelTask = std::function<void()>;
+
+  /**
+   * Forwards a call; the callback runs once.
+   *
+   * @return gives the call up, also at the backend server; the callback then
+   * never runs. Empty for a call that is over already.
+   */
+  CancelTask Forward(CallRequest aRequest, CallCallback aCallback);
 
   /** Refuses all further calls; those under way go on. */
   void Drain();
--- a/include/knapweedpaddle/callers/CallJournal.h
+++ b/include/knapweedpaddle/callers/CallJournal.h
@@ -12,6 +12,7 @@
 struct CallRecord
 {
   std::string callId;
+  std::string callerId; ///< the caller's own id of the call, or empty
   std::string path;
   std::string outcome;
   std::vector<std::string> steps;
--- a/include/knapweedpaddle/callers/CallerServer.h
+++ b/include/knapweedpaddle/callers/CallerServer.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "knapweedpaddle/callers/Call.h"
+#include "knapweedpaddle/callers/CallerDialect.h"
+#include "knapweedpaddle/http/Server.h"
 
-#include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace knapweedpaddle::callers {
@@ -24,8 +24,8 @@
 /**
  * The node's HTTP server: callers' requests, the operators' API and metrics.
  *
- * Thread safety: the handlers run on the server's threads; the answer
- * callbacks may be called from any thread.
+ * Thread safety: the loop's thread only; the answer callback of a node request
+ * may be called from any thread.
  */
 class CallerServer
 {
@@ -34,26 +34,44 @@
 
   struct Handlers
   {
-    std::function<void(CallRequest, CallCallback)> onCall;
+    /** Returns what gives the call up. */
+    std::function<std::function<void()>(CallRequest, CallCallback)> onCall;
+    /** Empty where no path is the node's own. */
     std::function<void(CallRequest, Respond)> onNodeRequest;
   };
 
-  CallerServer(Handlers aHandlers, std::uint32_t aThreads);
-  ~CallerServer();
-  CallerServer(const CallerServer&) = delete;
-  CallerServer& operator=(const CallerServer&) = delete;
+  CallerServer(runtime::EventLoop& aLoop,
+               CallerDialect aDialect,
+               Handlers aHandlers);
 
-  /** Listens and serves; false, with the reason in aReason, when it can't. */
-  bool Start(const std::string& aAddress,
-             std::uint16_t aPort,
-             std::string& aReason);
+  /** Listens on "IP:port"; false, with the reason in aReason, if it can't. */
+  bool Listen(const std::string& aAddress, std::string& aReason);
 
-  /** Stops serving; open connections are closed. */
-  void Stop();
+  void SetLimits(const http::ServerLimits& aLimits);
+
+  /** Sets the service whose calls come in here. */
+  void SetCallerService(std::string aService);
+
+  /** Announces the end of each connection with its next answer. */
+  void Drain();
+
+  std::size_t InFlight() const { return mServer.InFlight(); }
 
 private:
-  class Impl;
-  std::unique_ptr<Impl> mImpl;
+  void OnExchange(const http::ExchangePtr& aExchange);
+  bool Convert(http::Request& aMessage,
+               CallRequest& aRequest,
+               std::string& aReason) const;
+  void ServeNodeRequest(const http::ExchangePtr& aExchange,
+                        CallRequest aRequest);
+  http::Response ResponseFor(const CallResult& aResult,
+                             const std::string& aCallerId) const;
+
+  runtime::EventLoop& mLoop;
+  CallerDialect mDialect;
+  Handlers mHandlers;
+  std::string mCallerService;
+  http::Server mServer;
 };
 
 } // namespace knapweedpaddle::callers
--- a/include/knapweedpaddle/config/Entry.h
+++ b/include/knapweedpaddle/config/Entry.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 /** The catalogue: its entries, snapshots, validation and changes. */
 namespace knapweedpaddle::config {
@@ -71,18 +72,31 @@
   bool operator==(const ServiceEntry&) const = default;
 };
 
+/** One of the services among which a route's requests are divided. */
+struct RouteShare
+{
+  std::string service;
+  double weight = 1; ///< in proportion to the route's other weights
+
+  bool operator==(const RouteShare&) const = default;
+};
+
 /** Sends requests under a path prefix to a service. */
 struct RouteEntry
 {
   EntryHeader header;
+  std::string host; ///< of the request, in lower case; empty for any
   std::string pathPrefix;
-  std::string service;
+  std::string service; ///< empty when the route has a split
+  std::vector<RouteShare> split;
   std::string limit; ///< name of a limit entry, or empty
   CallClass callClass = CallClass::kIdempotent;
   Milliseconds timeout{ 1000 };
   Milliseconds slowAfter{
     100
   }; ///< a call slower than this counts as slow evidence
+  std::uint32_t priority = 0; ///< 0 is served first where slots are short
+  std::uint32_t maxTries = 3; ///< backend servers that one call may reach
 
   bool operator==(const RouteEntry&) const = default;
 };
--- a/include/knapweedpaddle/node/ConfigAgent.h
+++ b/include/knapweedpaddle/node/ConfigAgent.h
@@ -4,7 +4,7 @@
 #include "knapweedpaddle/config/ConfigStore.h"
 #include "knapweedpaddle/node/ServingGate.h"
 #include "knapweedpaddle/nodes/PeerClient.h"
-#include "knapweedpaddle/platform/CatalogueReader.h"
+#include "knapweedpaddle/store/CatalogueReader.h"
 #include "knapweedpaddle/runtime/Scheduler.h"
 
 #include <functional>
@@ -25,7 +25,7 @@
   struct Services
   {
     runtime::Scheduler& scheduler;
-    platform::PlatformClient& platform;
+    store::StoreClient& platform;
     nodes::PeerClient& peers;
     std::function<void()> onApplied;       ///< a newer version is in force here
     std::function<void()> onServingChange; ///< the gate opened or closed
@@ -35,7 +35,7 @@
 
   config::ConfigStore& Store() { return mStore; }
   const config::ConfigStore& Store() const { return mStore; }
-  platform::CatalogueReader& Reader() { return mReader; }
+  store::CatalogueReader& Reader() { return mReader; }
 
   /** Closes the gate until the node is known to be up to date again. */
   void BeginGate();
@@ -75,7 +75,7 @@
   Services mServices;
   std::mt19937_64 mRandom;
   config::ConfigStore mStore;
-  platform::CatalogueReader mReader;
+  store::CatalogueReader mReader;
   ServingGate mGate;
   Backoff mBackoff;
   std::uint64_t mGateRound = 0; ///< tells answers of an earlier closing apart
--- a/include/knapweedpaddle/node/ControlCore.h
+++ b/include/knapweedpaddle/node/ControlCore.h
@@ -22,7 +22,7 @@
   struct Services
   {
     runtime::Scheduler& scheduler;
-    platform::PlatformClient& platform;
+    store::StoreClient& platform;
     nodes::PeerClient& peers;
     std::function<void(const nodes::Datagram&)> send;
     std::function<void(routing::RoutingViewPtr)> publish;
--- /dev/null
+++ b/include/knapweedpaddle/node/FleetCore.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "knapweedpaddle/backends/ServerLedger.h"
+#include "knapweedpaddle/node/ConfigFollower.h"
+#include "knapweedpaddle/node/MemberAgent.h"
+#include "knapweedpaddle/node/RolloutAgent.h"
+#include "knapweedpaddle/settings/FleetSettings.h"
+
+namespace knapweedpaddle::node {
+
+/**
+ * All decisions of the control thread of a node whose operators write whole
+ * configurations into the store, without I/O.
+ *
+ * Thread safety: control thread only.
+ */
+class FleetCore
+{
+public:
+  struct Services
+  {
+    runtime::Scheduler& scheduler;
+    store::StoreClient& store;
+    operators::OrderDesk& desk;
+    nodes::PeerClient& peers;
+    std::function<void(const nodes::Datagram&)> send;
+    std::function<void(routing::RoutingViewPtr)> publish;
+    std::function<void(const http::ServerLimits&)> setCallerLimits;
+    /** Sets the server that takes calls; the task runs once that holds. */
+    std::function<void(std::optional<backends::BackendServer>,
+                       std::function<void()>)>
+      setBackend;
+    /** Hears of changes of state, for logs. */
+    std::function<void(const std::string& aEvent, const std::string& aDetail)>
+      note;
+  };
+
+  FleetCore(Services aServices,
+            const settings::FleetSettings& aSettings,
+            nodes::MemberRecord aSelf,
+            std::uint64_t aSeed);
+
+  /** Starts the timers and looks for the store and peers. */
+  void Start();
+
+  void Receive(const nodes::GossipMessage& aMessage);
+
+  nodes::JoinAnswer OnJoin(const nodes::MemberUpdate& aPeer)
+  {
+    return mMembers.OnJoin(aPeer);
+  }
+
+  nodes::PullAnswer OnPull(std::uint64_t aFrom) const
+  {
+    return mConfig.MakePullAnswer(aFrom);
+  }
+
+  void OnReport(const moves::EvidenceReport& aReport)
+  {
+    mRollouts.OnReport(aReport);
+  }
+
+  /**
+   * Takes over what the backend server said of itself.
+   *
+   * @param aDone  runs once calls follow it, when the report may be
+   * acknowledged.
+   */
+  void OnServerReport(const backends::ServerReport& aReport,
+                      std::function<void()> aDone);
+
+  /** Takes over the counts of the own backend server's calls. */
+  void TakeEvidence(const backends::EvidenceTable& aEvidence);
+
+  /** Reads everything anew after a pause of the process. */
+  void OnPause();
+
+  /** Tells peers that this node leaves. */
+  void Leave();
+
+  /** True while callers may send calls here. */
+  bool IsReady() const { return mConfig.HasConfig() && !mLeaving; }
+
+  const ConfigFollower& Config() const { return mConfig; }
+  const nodes::Membership& Members() const { return mMembers.Members(); }
+
+private:
+  void OnTick();
+  void OnApplied();
+  void OnJoinAnswer(const nodes::JoinAnswer& aAnswer);
+  void UpdateSelf();
+  void Publish();
+  routing::RetryOptions RetryShare() const;
+
+  Services mServices;
+  const settings::FleetSettings& mSettings;
+  MemberAgent mMembers;
+  ConfigFollower mConfig;
+  RolloutAgent mRollouts;
+  backends::ServerLedger mServer;
+  std::uint64_t mPublishedMembers = 0;
+  bool mViewDirty = true;
+  bool mLeaving = false;
+};
+
+} // namespace knapweedpaddle::node
--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -3,7 +3,7 @@
 #include "knapweedpaddle/common/Backoff.h"
 #include "knapweedpaddle/nodes/Membership.h"
 #include "knapweedpaddle/nodes/PeerClient.h"
-#include "knapweedpaddle/platform/PlatformClient.h"
+#include "knapweedpaddle/store/StoreClient.h"
 #include "knapweedpaddle/runtime/Scheduler.h"
 
 #include <functional>
@@ -24,7 +24,7 @@
   struct Services
   {
     runtime::Scheduler& scheduler;
-    platform::PlatformClient& platform;
+    store::StoreClient& platform;
     nodes::PeerClient& peers;
     std::function<void(const nodes::Datagram&)> send;
     std::function<nodes::JoinAnswer(const nodes::JoinAnswer&)> completeAnswer;
--- a/include/knapweedpaddle/node/Node.h
+++ b/include/knapweedpaddle/node/Node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "knapweedpaddle/settings/NodeSettings.h"
+#include "knapweedpaddle/store/StoreFactory.h"
 
 #include <memory>
 #include <string>
@@ -11,7 +12,7 @@
 class Node
 {
 public:
-  explicit Node(settings::NodeSettings aSettings);
+  Node(settings::NodeSettings aSettings, const store::StoreFactory& aMakeStore);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
--- a/include/knapweedpaddle/nodes/CallCodec.h
+++ b/include/knapweedpaddle/nodes/CallCodec.h
@@ -20,14 +20,15 @@
 std::optional<backends::OwnedCall>
 DecodeCall(LinkRequest aRequest, Timestamp aNow, std::string& aReason);
 
-/** Encodes an owner's answer with its present load in busy slots. */
+/** Encodes an owner's answer with its backend server's present load. */
 LinkResponse
-EncodeCallResult(const callers::CallResult& aResult, std::uint32_t aBusySlots);
+EncodeCallResult(const callers::CallResult& aResult,
+                 const backends::ServerLoad& aLoad);
 
 struct DecodedCallResult
 {
   callers::CallResult result;
-  std::uint32_t busySlots = 0;
+  backends::ServerLoad load;
 };
 
 /**
--- a/include/knapweedpaddle/operators/Acceptor.h
+++ b/include/knapweedpaddle/operators/Acceptor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "knapweedpaddle/config/EntryCodec.h"
-#include "knapweedpaddle/platform/CatalogueReader.h"
+#include "knapweedpaddle/store/CatalogueReader.h"
 
 #include <memory>
 
@@ -52,9 +52,9 @@
 
   /** @param aChanged  runs after an accepted change was applied to the store.
    */
-  Acceptor(platform::PlatformClient& aPlatform,
+  Acceptor(store::StoreClient& aPlatform,
            config::ConfigStore& aStore,
-           platform::CatalogueReader& aReader,
+           store::CatalogueReader& aReader,
            std::function<void()> aChanged);
 
   /**
@@ -80,9 +80,9 @@
                      AcceptOutcome aOutcome,
                      std::string aMessage);
 
-  platform::PlatformClient& mPlatform;
+  store::StoreClient& mPlatform;
   config::ConfigStore& mStore;
-  platform::CatalogueReader& mReader;
+  store::CatalogueReader& mReader;
   std::function<void()> mChanged;
 };
 
--- a/include/knapweedpaddle/operators/OperatorApi.h
+++ b/include/knapweedpaddle/operators/OperatorApi.h
@@ -23,7 +23,7 @@
   {
     Acceptor& acceptor;
     config::ConfigStore& store;
-    platform::PlatformClient& platform;
+    store::StoreClient& platform;
     nodes::Membership& members;
     callers::CallJournal& journal;
     telemetry::Metrics& metrics;
--- a/include/knapweedpaddle/routing/Picker.h
+++ b/include/knapweedpaddle/routing/Picker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "knapweedpaddle/backends/ServerLoad.h"
 #include "knapweedpaddle/common/Time.h"
 #include "knapweedpaddle/routing/RoutingView.h"
 
@@ -15,24 +16,26 @@
   Milliseconds ejectionMost{ 10'000 };
   double panicShare =
     0.5; ///< with more than this share ejected, ejection is ignored
-  double spillUtilisation =
-    0.85; ///< of the zone's slots, above which calls leave the zone
-  Milliseconds loadFresh{ 2000 }; ///< how long a reported load counts
+  double zonePenalty = 0.25; ///< cost of leaving the zone, in service times
+  Milliseconds unknownService{ 50 }; ///< assumed until a node reported
+  Milliseconds loadHalfLife{ 400 };  ///< by which others' calls are forgotten
+  std::size_t sampled = 8;           ///< candidates compared for one call
 };
 
 /** What to pick for. */
 struct PickQuery
 {
   std::string service;
-  std::string version;
+  std::string version;                  ///< a VersionSelector
   std::string zone;                     ///< the picking node's own
   std::vector<nodes::NodeId> excluding; ///< already tried for this call
 };
 
 /**
- * Chooses the node that serves a call: own zone first, spilling when it is
- * busy; within the candidates, the less loaded of two random ones. Nodes whose
- * calls fail in a row are ejected for a while, unless most are.
+ * Chooses the node that serves a call: the one where it is expected to be done
+ * first, from the load and speed that the nodes report with their answers and
+ * the calls sent since. Other zones count as slower. Nodes whose calls fail in
+ * a row are ejected for a while, unless most are.
  *
  * Thread safety: the traffic thread only.
  */
@@ -56,18 +59,24 @@
    */
   void Finish(nodes::NodeId aNode, bool aReached, Timestamp aNow);
 
-  /** Takes over the load that a node reported with an answer, in busy slots. */
+  /** Takes over the load that a node reported with an answer. */
   void ReportLoad(nodes::NodeId aNode,
-                  std::uint32_t aBusySlots,
+                  const backends::ServerLoad& aLoad,
                   Timestamp aNow);
 
   bool IsEjected(nodes::NodeId aNode, Timestamp aNow) const;
 
+  /** Returns the expected milliseconds until a call is done at a target. */
+  double Cost(const Target& aTarget,
+              const std::string& aZone,
+              Timestamp aNow) const;
+
 private:
   struct State
   {
     std::uint32_t outstanding = 0;
-    std::uint32_t reportedBusy = 0;
+    backends::ServerLoad load;
+    std::uint32_t outstandingAtReport = 0;
     Timestamp reportedAt;
     std::uint32_t failures = 0;
     std::uint32_t ejections = 0;
@@ -76,11 +85,10 @@
 
   using Candidates = std::vector<const Target*>;
 
-  double Utilisation(const Target& aTarget, Timestamp aNow) const;
   bool IsUsable(const Target& aTarget, Timestamp aNow) const;
   Candidates WithoutEjected(const Candidates& aAll, Timestamp aNow) const;
-  bool IsZoneBusy(const Candidates& aLocal, Timestamp aNow) const;
-  const Target* BetterOfTwo(const Candidates& aCandidates, Timestamp aNow);
+  void Sample(Candidates& aCandidates, const std::string& aZone);
+  double OthersCalls(const State& aState, Timestamp aNow) const;
 
   PickerOptions mOptions;
   std::mt19937_64 mRandom;
--- a/include/knapweedpaddle/routing/RetryPolicy.h
+++ b/include/knapweedpaddle/routing/RetryPolicy.h
@@ -40,18 +40,30 @@
   TryOutcome outcome = TryOutcome::kUnknown;
   std::uint32_t tries = 1; ///< made so far, this one included
   Timestamp deadline;
+  std::uint32_t maxTries = 3; ///< that may reach a backend server
+  bool arrived = true;        ///< this try reached a backend server
+};
+
+struct RetryOptions
+{
+  double perCall = 0.1; ///< retries earned by each first try
+  double burst = 20;    ///< retries at once
 };
 
 /**
  * Decides whether a call may be sent again after a failed try. Retries are a
  * share of all calls, so that they can't multiply load when many calls fail.
+ * A try that no backend server saw costs nothing of that share.
  *
  * Thread safety: the traffic thread only.
  */
 class RetryPolicy
 {
 public:
-  RetryPolicy();
+  explicit RetryPolicy(RetryOptions aOptions = {});
+
+  /** Changes the budget; what was saved is kept up to the new burst. */
+  void SetOptions(RetryOptions aOptions);
 
   /** Counts a first try, which earns part of a retry. */
   void CountCall();
@@ -63,6 +75,7 @@
   bool TakeHedge(Timestamp aNow);
 
 private:
+  RetryOptions mOptions;
   TokenBucket mBudget;
 };
 
--- a/include/knapweedpaddle/routing/RoutingView.h
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -2,10 +2,12 @@
 
 #include "knapweedpaddle/config/Snapshot.h"
 #include "knapweedpaddle/nodes/MemberRecord.h"
+#include "knapweedpaddle/routing/RetryPolicy.h"
 
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 /** Where a call goes, and whether it may go again. */
@@ -30,6 +32,7 @@
   double share = 0;      ///< of idempotent and check calls that go to toVersion
   double onceShare = 0;  ///< of at most once calls
   bool condemned = false;
+  bool exclusive = false; ///< calls drawn for one version never reach the other
 };
 
 /** Everything that traffic threads need, made by the control thread. Immutable
@@ -42,16 +45,26 @@
   explicit RoutingView(config::SnapshotPtr aConfig);
 
   config::SnapshotPtr config;
-  std::vector<const config::RouteEntry*>
-    routes; ///< of config, longest prefix first
+  /** Of config, by host, longest prefix first. */
+  std::unordered_map<std::string, std::vector<const config::RouteEntry*>>
+    routes;
   std::map<std::string, std::vector<Target>> targets; ///< by service
   std::map<std::string, VersionShare> shares;         ///< by service
+  RetryOptions retries;
   bool open = false; ///< the node holds a configuration that it may serve
 
-  /** Returns the route with the longest prefix of a path, or null. */
-  const config::RouteEntry* FindRoute(const std::string& aPath) const;
+  /**
+   * Returns the route with the longest prefix of a path, or null.
+   *
+   * @param aHost  in lower case, without a port; routes without a host take
+   * any.
+   */
+  const config::RouteEntry* FindRoute(const std::string& aHost,
+                                      const std::string& aPath) const;
 
-  /** Returns the versions that calls of a service may reach, preferred first.
+  /**
+   * Returns the versions that calls of a service may reach, preferred first,
+   * each in the form of VersionSelector.
    */
   std::vector<std::string> VersionsFor(const std::string& aService,
                                        config::CallClass aClass,
--- a/include/knapweedpaddle/routing/TokenBucket.h
+++ b/include/knapweedpaddle/routing/TokenBucket.h
@@ -17,6 +17,9 @@
   /** Takes one token; false when there is none. Times must not fall. */
   bool Take(Timestamp aNow);
 
+  /** Changes the burst; tokens beyond it are lost. */
+  void SetBurst(double aBurst);
+
   /** Adds tokens, up to the burst. */
   void Add(double aTokens);
 
--- /dev/null
+++ b/include/knapweedpaddle/routing/VersionSelector.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+
+namespace knapweedpaddle::routing {
+
+/** Which versions of a service's backend servers may take a call. */
+struct VersionSelector
+{
+  std::string version;   ///< empty: any
+  bool excludes = false; ///< any but this version
+
+  bool Matches(const std::string& aVersion) const
+  {
+    return version.empty() || (aVersion == version) != excludes;
+  }
+
+  /** Returns "v2" or "!v2". */
+  std::string ToString() const { return (excludes ? "!" : "") + version; }
+
+  static VersionSelector Parse(const std::string& aText)
+  {
+    if (aText.starts_with('!')) {
+      return { aText.substr(1), true };
+    }
+    return { aText, false };
+  }
+
+  bool operator==(const VersionSelector&) const = default;
+};
+
+} // namespace knapweedpaddle::routing
--- a/include/knapweedpaddle/settings/NodeSettings.h
+++ b/include/knapweedpaddle/settings/NodeSettings.h
@@ -29,7 +29,6 @@
   std::uint16_t gossipPort = 0;
   std::uint16_t linkPort = 0;
   std::uint16_t callerPort = 0;
-  std::uint32_t callerThreads = 1;
   Milliseconds platformTimeout{ 0 };
   Milliseconds drainTimeout{ 0 };
   std::uint32_t checkSlots = 0;
--- a/include/knapweedpaddle/platform/CatalogueReader.h
+++ b/include/knapweedpaddle/store/CatalogueReader.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "knapweedpaddle/config/ConfigStore.h"
-#include "knapweedpaddle/platform/PlatformClient.h"
+#include "knapweedpaddle/store/StoreClient.h"
 
 #include <functional>
 
-namespace knapweedpaddle::platform {
+namespace knapweedpaddle::store {
 
 /**
  * Brings a node's configuration up to the platform's newest version: change by
@@ -17,7 +17,7 @@
 {
 public:
   /** @param aChanged  runs after each change of the store. */
-  CatalogueReader(PlatformClient& aPlatform,
+  CatalogueReader(StoreClient& aPlatform,
                   config::ConfigStore& aStore,
                   std::function<void()> aChanged);
 
@@ -38,9 +38,9 @@
   void FetchSnapshot(std::uint64_t aVersion, const DoneCallback& aCallback);
   bool Replace(const std::string& aBody);
 
-  PlatformClient& mPlatform;
+  StoreClient& mPlatform;
   config::ConfigStore& mStore;
   std::function<void()> mChanged;
 };
 
-} // namespace knapweedpaddle::platform
+} // namespace knapweedpaddle::store
--- a/include/knapweedpaddle/platform/CatalogueRows.h
+++ b/include/knapweedpaddle/store/CatalogueRows.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "knapweedpaddle/platform/PlatformClient.h"
+#include "knapweedpaddle/store/StoreClient.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-namespace knapweedpaddle::platform {
+namespace knapweedpaddle::store {
 
 /** Key of the row that holds the number of the newest accepted version. */
 inline constexpr const char* kHeadKey = "head";
@@ -38,4 +38,4 @@
 std::optional<std::uint64_t>
 VersionOf(const Row& aRow);
 
-} // namespace knapweedpaddle::platform
+} // namespace knapweedpaddle::store
--- a/include/knapweedpaddle/platform/ClaimBatcher.h
+++ b/include/knapweedpaddle/store/ClaimBatcher.h
@@ -2,12 +2,12 @@
 
 #include "knapweedpaddle/backends/ClaimService.h"
 #include "knapweedpaddle/common/Time.h"
-#include "knapweedpaddle/platform/PlatformClient.h"
+#include "knapweedpaddle/store/StoreClient.h"
 
 #include <deque>
 #include <set>
 
-namespace knapweedpaddle::platform {
+namespace knapweedpaddle::store {
 
 /**
  * Claims idempotency keys in the platform's table, many in one write. A claim
@@ -20,7 +20,7 @@
 {
 public:
   /** @param aWritesPerSecond  most transactions a second. */
-  ClaimBatcher(PlatformClient& aPlatform, std::uint32_t aWritesPerSecond);
+  ClaimBatcher(StoreClient& aPlatform, std::uint32_t aWritesPerSecond);
 
   void Claim(const std::string& aKey,
              const std::string& aCallId,
@@ -44,7 +44,7 @@
   void Settle(Batch aBatch);
   void Answer(Pending& aPending, backends::ClaimOutcome aOutcome);
 
-  PlatformClient& mPlatform;
+  StoreClient& mPlatform;
   Milliseconds mInterval;
   Timestamp mNextWrite{};
   bool mBusy = false;
@@ -52,4 +52,4 @@
   std::set<std::string> mHeld; ///< row keys waiting or being written
 };
 
-} // namespace knapweedpaddle::platform
+} // namespace knapweedpaddle::store
--- a/include/knapweedpaddle/platform/PlatformClient.h
+++ b/include/knapweedpaddle/store/StoreClient.h
@@ -2,6 +2,7 @@
 
 #include "knapweedpaddle/common/EnumNames.h"
 #include "knapweedpaddle/common/Reason.h"
+#include "knapweedpaddle/common/Time.h"
 
 #include <cstdint>
 #include <functional>
@@ -10,27 +11,29 @@
 #include <vector>
 
 /** The platform's transactional table and object store. */
-namespace knapweedpaddle::platform {
+namespace knapweedpaddle::store {
 
-enum class PlatformError
+enum class StoreError
 {
   kConflict,       ///< a condition failed; nothing was written
   kNotFound,       ///< the object does not exist
-  kNotSent,        ///< the platform could not be reached; nothing was written
+  kHistoryGone,    ///< the changes asked for are no longer kept
+  kNotSent,        ///< the store could not be reached; nothing was written
   kOutcomeUnknown, ///< no answer; a write may have taken effect
-  kRefused,        ///< the platform answered with an error; nothing was written
+  kRefused,        ///< the store answered with an error; nothing was written
 };
 
-inline constexpr std::array<EnumName<PlatformError>, 5> kPlatformErrorNames{ {
-  { PlatformError::kConflict, "conflict" },
-  { PlatformError::kNotFound, "not_found" },
-  { PlatformError::kNotSent, "not_sent" },
-  { PlatformError::kOutcomeUnknown, "outcome_unknown" },
-  { PlatformError::kRefused, "refused" },
+inline constexpr std::array<EnumName<StoreError>, 6> kStoreErrorNames{ {
+  { StoreError::kConflict, "conflict" },
+  { StoreError::kNotFound, "not_found" },
+  { StoreError::kHistoryGone, "history_gone" },
+  { StoreError::kNotSent, "not_sent" },
+  { StoreError::kOutcomeUnknown, "outcome_unknown" },
+  { StoreError::kRefused, "refused" },
 } };
 
-/** Why a platform call failed; conflictingKeys is set for kConflict. */
-struct PlatformReason : Reason<PlatformError>
+/** Why a call failed; conflictingKeys is set for kConflict. */
+struct StoreReason : Reason<StoreError>
 {
   std::vector<std::string> conflictingKeys;
 };
@@ -38,7 +41,7 @@
 /** A row; revision 0 stands for a row that does not exist. */
 struct Row
 {
-  std::string key;
+  std::string key; ///< "table/name"
   std::string value;
   std::uint64_t revision = 0;
 };
@@ -64,22 +67,32 @@
   std::vector<Write> writes;
 };
 
+/** Rows of one table with the store's revision as of which they were read. */
+struct TableNews
+{
+  std::vector<Row> rows; ///< those removed have revision 0
+  std::uint64_t revision = 0;
+};
+
 /**
- * The platform as this system uses it.
+ * The store as this system uses it. The part of a key before its first slash
+ * names the row's table.
  *
  * Thread safety: control thread only. Callbacks run there, once each, and
  * never from inside the call that started them.
  */
-class PlatformClient
+class StoreClient
 {
 public:
   using RowsCallback =
-    std::function<void(std::optional<std::vector<Row>>, const PlatformReason&)>;
-  using DoneCallback = std::function<void(bool, const PlatformReason&)>;
+    std::function<void(std::optional<std::vector<Row>>, const StoreReason&)>;
+  using NewsCallback =
+    std::function<void(std::optional<TableNews>, const StoreReason&)>;
+  using DoneCallback = std::function<void(bool, const StoreReason&)>;
   using ObjectCallback =
-    std::function<void(std::optional<std::string>, const PlatformReason&)>;
+    std::function<void(std::optional<std::string>, const StoreReason&)>;
 
-  virtual ~PlatformClient() = default;
+  virtual ~StoreClient() = default;
 
   /** Reads rows by key; absent ones come back with revision 0. */
   virtual void Read(std::vector<std::string> aKeys, RowsCallback aCallback) = 0;
@@ -91,6 +104,18 @@
                          std::size_t aLimit,
                          RowsCallback aCallback) = 0;
 
+  /** Reads a whole table, and the revision to follow its changes from. */
+  virtual void ReadTable(std::string aTable, NewsCallback aCallback) = 0;
+
+  /**
+   * Waits for changes of a table after a revision; no rows when there were
+   * none in time.
+   */
+  virtual void Follow(std::string aTable,
+                      std::uint64_t aAfter,
+                      Milliseconds aWait,
+                      NewsCallback aCallback) = 0;
+
   virtual void Commit(Transaction aTransaction, DoneCallback aCallback) = 0;
 
   virtual void PutObject(std::string aName,
@@ -99,4 +124,4 @@
   virtual void GetObject(std::string aName, ObjectCallback aCallback) = 0;
 };
 
-} // namespace knapweedpaddle::platform
+} // namespace knapweedpaddle::store
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -1,34 +1,31 @@
 #include "knapweedpaddle/backends/CallOwner.h"
 
-#include <algorithm>
-#include <array>
+#include "knapweedpaddle/http/Client.h"
+#include "knapweedpaddle/routing/VersionSelector.h"
+
+#include <cmath>
 
 namespace knapweedpaddle::backends {
 
 using callers::CallOutcome;
 using callers::CallResult;
+using http::ClientError;
+using http::ClientReason;
 using runtime::EventLoop;
-using runtime::HttpError;
-using runtime::HttpReason;
-using runtime::HttpResponse;
 
 namespace {
 
-constexpr long kMaxBackendConnections = 128;
 constexpr Milliseconds kExpireEvery{ 25 };
+constexpr Milliseconds kMaxIdle{ 4000 };
+/** A call that must not repeat is lost when its connection turns out to be
+ * dead, so it takes only one that was used a moment ago. */
+constexpr Milliseconds kMaxIdleOnce{ 250 };
+/** How long calls are refused after a connection was. */
+constexpr Milliseconds kDownTime{ 200 };
 constexpr int kFirstServerError = 500;
-
-/** Headers that concern one connection and are not passed on. */
-constexpr std::array<std::string_view, 8> kHopHeaders{
-  "connection",       "keep-alive", "transfer-encoding", "content-length",
-  "proxy-connection", "te",         "upgrade",           "expect",
-};
-
-bool
-IsHopHeader(const std::string& aName)
-{
-  return std::ranges::find(kHopHeaders, aName) != kHopHeaders.end();
-}
+constexpr int kMisdirected = 421;
+constexpr double kFailureWeight = 0.05; ///< of one call in the moving average
+constexpr double kPercent = 100;
 
 CallResult
 NotRun(const OwnedCall& aCall, std::string aReason)
@@ -51,14 +48,14 @@
     callers::CallCallback callback;
     bool holdsSlot = false;
     bool dispatched = false;
-    runtime::HttpClient::RequestId request = 0;
+    http::Client::RequestId request = 0;
     Timestamp sentAt;
     std::int64_t sentAtWallMicroseconds = 0;
   };
 
   Impl(Services aServices, std::uint32_t aCheckSlots)
-    : mServices(aServices)
-    , mHttp(aServices.loop, kMaxBackendConnections)
+    : mServices(std::move(aServices))
+    , mHttp(mServices.loop, ClientOptionsFor(mServices.dialect))
     , mSlots(aCheckSlots,
              [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
                OnGranted(aId, aRefusal);
@@ -73,7 +70,13 @@
 
   void SetBackend(std::optional<BackendServer> aBackend)
   {
+    if (mBackend && aBackend && mBackend->id != aBackend->id) {
+      mDownUntil = {};
+    }
     mBackend = std::move(aBackend);
+    if (mBackend) {
+      mHttp.SetAddress(mBackend->address);
+    }
     mSlots.SetSlots(mBackend ? mBackend->slots : 0);
   }
 
@@ -101,19 +104,36 @@
     const auto callClass = it->second.call.callClass;
     mRunning.erase(it);
     if (heldSlot) {
-      mSlots.Release(callClass, Milliseconds(0), Now());
+      mSlots.Release(callClass, std::nullopt, Now());
     }
   }
 
   void Drain() { mSlots.Drain(); }
 
   std::size_t InFlight() const { return mRunning.size(); }
-  std::uint32_t BusySlots() const { return mSlots.Busy(); }
+
+  ServerLoad Load() const
+  {
+    const bool takesCalls = mBackend && Now() >= mDownUntil;
+    return { mSlots.Busy(),
+             static_cast<std::uint32_t>(mSlots.Queued()),
+             takesCalls ? mSlots.Slots() : 0,
+             static_cast<std::uint32_t>(std::lround(mSlots.ServiceMs())),
+             static_cast<std::uint32_t>(std::lround(mFailed * kPercent)) };
+  }
+
   const EvidenceTable& Evidence() const { return mEvidence; }
 
 private:
   static Timestamp Now() { return std::chrono::steady_clock::now(); }
 
+  static http::ClientOptions ClientOptionsFor(const BackendDialect& aDialect)
+  {
+    http::ClientOptions options;
+    options.idHeader = aDialect.echoesCallId ? aDialect.callId : "";
+    return options;
+  }
+
   void Admit(RunId aRun)
   {
     const auto it = mRunning.find(aRun);
@@ -126,8 +146,13 @@
       Refuse(aRun, "no backend server has announced itself here");
       return;
     }
+    if (Now() < mDownUntil) {
+      Refuse(aRun, "the backend server here refuses connections");
+      return;
+    }
+    const auto selector = routing::VersionSelector::Parse(call.version);
     if (mBackend->service != call.service ||
-        mBackend->version != call.version) {
+        !selector.Matches(mBackend->version)) {
       Refuse(aRun,
              "the backend server here is " + mBackend->service + " " +
                mBackend->version + ", not " + call.service + " " +
@@ -136,7 +161,9 @@
     }
     SlotRefusal refusal{};
     const auto answer = mSlots.Request(
-      SlotRequest{ aRun, call.callClass, call.deadline }, Now(), refusal);
+      SlotRequest{ aRun, call.callClass, call.deadline, call.priority },
+      Now(),
+      refusal);
     if (!answer) {
       Refuse(aRun, std::string(NameOf(kSlotRefusalNames, refusal)));
       return;
@@ -213,38 +240,51 @@
       Refuse(aRun, "the backend server left before dispatch");
       return;
     }
-    runtime::HttpRequest request;
-    request.method = call.method;
-    request.url = "http://" + mBackend->address + call.path;
-    request.body = call.body;
-    request.timeout =
-      std::chrono::duration_cast<Milliseconds>(call.deadline - now);
-    request.neverRepeat = call.callClass == config::CallClass::kAtMostOnce;
-    for (const auto& it : call.headers) {
-      if (!IsHopHeader(it.name)) {
-        request.headers.push_back(it);
-      }
-    }
     const auto span = mServices.tracer.Child(call.trace);
-    request.headers.push_back({ "traceparent", span.ToHeader() });
-    request.headers.push_back({ "knapweed-call-id", call.callId });
-    request.headers.push_back(
-      { "knapweed-timeout-ms", std::to_string(request.timeout.count()) });
     running.dispatched = true;
     running.sentAt = now;
     running.sentAtWallMicroseconds = WallMicroseconds();
-    running.request =
-      mHttp.Send(std::move(request),
-                 [this, aRun, span](std::optional<HttpResponse> aResponse,
-                                    const HttpReason& aReason) {
-                   OnBackendAnswer(aRun, span, std::move(aResponse), aReason);
-                 });
+    running.request = mHttp.Send(
+      RequestFor(call, span, now),
+      call.callClass == config::CallClass::kAtMostOnce ? kMaxIdleOnce
+                                                       : kMaxIdle,
+      [this, aRun, span](std::optional<http::Response> aResponse,
+                         const ClientReason& aReason) {
+        OnBackendAnswer(aRun, span, std::move(aResponse), aReason);
+      });
+  }
+
+  http::Request RequestFor(const OwnedCall& aCall,
+                           const telemetry::TraceContext& aSpan,
+                           Timestamp aNow) const
+  {
+    const BackendDialect& dialect = mServices.dialect;
+    const auto left =
+      std::chrono::duration_cast<Milliseconds>(aCall.deadline - aNow);
+    http::Request request;
+    request.method = aCall.method;
+    request.target = aCall.path;
+    request.headers = aCall.headers;
+    request.body = aCall.body;
+    const auto set = [&request](const std::string& aName, std::string aValue) {
+      if (!aName.empty()) {
+        http::RemoveHeader(request.headers, aName);
+        request.headers.push_back({ aName, std::move(aValue) });
+      }
+    };
+    if (!http::FindHeader(request.headers, dialect.callId)) {
+      set(dialect.callId, aCall.callId);
+    }
+    set(dialect.timeLeftMs, std::to_string(left.count()));
+    set(dialect.trace, aSpan.ToHeader());
+    set(mBackend->id.empty() ? "" : dialect.expectServer, mBackend->id);
+    return request;
   }
 
   void OnBackendAnswer(RunId aRun,
                        const telemetry::TraceContext& aSpan,
-                       std::optional<HttpResponse> aResponse,
-                       const HttpReason& aReason)
+                       std::optional<http::Response> aResponse,
+                       const ClientReason& aReason)
   {
     Running& running = mRunning.at(aRun);
     const auto elapsed =
@@ -262,27 +302,64 @@
     mServices.metrics.Observe("backend_seconds",
                               { { "route", running.call.route } },
                               std::chrono::duration<double>(elapsed).count());
-    const bool notSent = !aResponse && aReason.code == HttpError::kNotSent;
-    AddEvidence(running.call,
-                elapsed,
-                aResponse && aResponse->status < kFirstServerError);
+    CallResult result = ResultOf(running.call, std::move(aResponse), aReason);
+    if (result.outcome == CallOutcome::kNotRun) {
+      // Its time says nothing of the server's speed.
+      running.dispatched = false;
+    } else {
+      AddEvidence(running.call,
+                  elapsed,
+                  result.outcome == CallOutcome::kAnswered &&
+                    result.status < kFirstServerError);
+    }
+    Finish(aRun, std::move(result));
+  }
 
+  /** Turns what came of a dispatched call into its result. */
+  CallResult ResultOf(const OwnedCall& aCall,
+                      std::optional<http::Response> aResponse,
+                      const ClientReason& aReason)
+  {
+    const BackendDialect& dialect = mServices.dialect;
     CallResult result;
-    result.callId = running.call.callId;
+    result.callId = aCall.callId;
     if (!aResponse) {
+      const bool notSent = aReason.code == ClientError::kNotSent;
+      if (notSent) {
+        mDownUntil = Now() + kDownTime;
+      }
       result.outcome = notSent ? CallOutcome::kNotRun : CallOutcome::kUnknown;
       result.reason = aReason.message;
-      Finish(aRun, std::move(result));
-      return;
+      return result;
     }
-    result.outcome = CallOutcome::kAnswered;
     result.status = aResponse->status;
+    const bool misdirected =
+      result.status == kMisdirected && !dialect.expectServer.empty();
+    if (misdirected || (!dialect.notRun.empty() &&
+                        http::FindHeader(aResponse->headers, dialect.notRun))) {
+      result.outcome = CallOutcome::kNotRun;
+      result.arrived = !misdirected;
+      result.reason =
+        "the backend server refused with status " + std::to_string(result.status);
+      if (misdirected) {
+        // Another server has the address; its own report will name it.
+        mBackend.reset();
+        mSlots.SetSlots(0);
+      }
+      return result;
+    }
+    if (!dialect.stamp.empty() && result.status < kFirstServerError &&
+        !http::FindHeader(aResponse->headers, dialect.stamp)) {
+      result.outcome = CallOutcome::kUnknown;
+      result.reason = "an answer with status " + std::to_string(result.status) +
+                      " that the backend server did not sign";
+      return result;
+    }
+    result.outcome = CallOutcome::kAnswered;
+    result.phrase = std::move(aResponse->reason);
     result.body = std::move(aResponse->body);
-    std::ranges::copy_if(
-      aResponse->headers,
-      std::back_inserter(result.headers),
-      [](const auto& aItem) { return !IsHopHeader(aItem.name); });
-    Finish(aRun, std::move(result));
+    result.headers = http::EndToEnd(aResponse->headers);
+    return result;
   }
 
   void AddEvidence(const OwnedCall& aCall,
@@ -293,6 +370,7 @@
     ++sums.calls;
     sums.failures += aSucceeded ? 0 : 1;
     sums.slow += aElapsed > aCall.slowAfter ? 1 : 0;
+    mFailed += kFailureWeight * ((aSucceeded ? 0 : 1) - mFailed);
   }
 
   /** Later, so that the callback never runs from inside Run(). */
@@ -312,11 +390,12 @@
     mRunning.erase(it);
     if (running.holdsSlot) {
       const Timestamp now = Now();
-      const auto served =
-        running.dispatched
-          ? std::chrono::duration_cast<Milliseconds>(now - running.sentAt)
-          : Milliseconds(0);
-      mSlots.Release(running.call.callClass, served, now);
+      mSlots.Release(running.call.callClass,
+                     running.dispatched
+                       ? std::optional(std::chrono::duration_cast<Milliseconds>(
+                           now - running.sentAt))
+                       : std::nullopt,
+                     now);
     }
     mServices.metrics.Count(
       "owner_calls_total",
@@ -326,16 +405,18 @@
   }
 
   Services mServices;
-  runtime::HttpClient mHttp;
+  http::Client mHttp;
   SlotQueue mSlots;
   std::optional<BackendServer> mBackend;
   RunId mLastRun = 0;
   std::unordered_map<RunId, Running> mRunning;
   EvidenceTable mEvidence;
+  Timestamp mDownUntil{};
+  double mFailed = 0; ///< moving average of the share of failed calls
 };
 
 CallOwner::CallOwner(Services aServices, std::uint32_t aCheckSlots)
-  : mImpl(std::make_unique<Impl>(aServices, aCheckSlots))
+  : mImpl(std::make_unique<Impl>(std::move(aServices), aCheckSlots))
 {
 }
 
@@ -371,10 +452,10 @@
   return mImpl->InFlight();
 }
 
-std::uint32_t
-CallOwner::BusySlots() const
+ServerLoad
+CallOwner::Load() const
 {
-  return mImpl->BusySlots();
+  return mImpl->Load();
 }
 
 const EvidenceTable&
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t kQueuePerSlot = 4;
-constexpr double kServiceWeight = 0.1;
+constexpr double kServiceSpan = 12; ///< calls that the average remembers
 
 } // namespace
 
@@ -22,6 +22,9 @@
 SlotQueue::SetSlots(std::uint32_t aSlots)
 {
   mSlots = aSlots;
+  if (mSlots == 0) {
+    RefuseQueued();
+  }
 }
 
 std::optional<SlotQueue::Answer>
@@ -41,25 +44,30 @@
     aRefusal = SlotRefusal::kQueueFull;
     return std::nullopt;
   }
-  if (aNow + ExpectedWait() >= aRequest.deadline) {
+  if (aNow + ExpectedWait(aRequest) >= aRequest.deadline) {
     aRefusal = SlotRefusal::kDeadlineTooNear;
     return std::nullopt;
   }
   auto& queue =
     aRequest.callClass == config::CallClass::kCheck ? mChecks : mOthers;
-  queue.push_back(aRequest);
+  const auto after = std::ranges::upper_bound(
+    queue, aRequest.priority, {}, &SlotRequest::priority);
+  queue.insert(after, aRequest);
   return Answer::kQueued;
 }
 
 void
 SlotQueue::Release(config::CallClass aClass,
-                   Milliseconds aServiceTime,
+                   std::optional<Milliseconds> aServiceTime,
                    Timestamp aNow)
 {
   std::uint32_t& busy = BusyOf(aClass);
   busy -= busy > 0 ? 1 : 0;
-  mServiceMs +=
-    kServiceWeight * (static_cast<double>(aServiceTime.count()) - mServiceMs);
+  if (aServiceTime) {
+    mServed = std::min(mServed + 1, kServiceSpan);
+    mServiceMs +=
+      (static_cast<double>(aServiceTime->count()) - mServiceMs) / mServed;
+  }
   GrantNext(aNow);
 }
 
@@ -94,6 +102,12 @@
 SlotQueue::Drain()
 {
   mDraining = true;
+  RefuseQueued();
+}
+
+void
+SlotQueue::RefuseQueued()
+{
   for (auto* queue : { &mChecks, &mOthers }) {
     for (const auto& it : std::exchange(*queue, {})) {
       mGranted(it.id, SlotRefusal::kDraining);
@@ -118,9 +132,13 @@
 }
 
 Milliseconds
-SlotQueue::ExpectedWait() const
+SlotQueue::ExpectedWait(const SlotRequest& aRequest) const
 {
-  const double rounds = static_cast<double>(Queued() + 1) /
+  const auto after = std::ranges::upper_bound(
+    mOthers, aRequest.priority, {}, &SlotRequest::priority);
+  const auto ahead = mChecks.size() + static_cast<std::size_t>(
+                                        after - mOthers.begin());
+  const double rounds = static_cast<double>(ahead + 1) /
                         static_cast<double>(std::max(mSlots, 1U));
   return Milliseconds(static_cast<std::int64_t>(mServiceMs * rounds));
 }
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <unordered_map>
 
@@ -23,6 +24,11 @@
 namespace {
 
 constexpr Milliseconds kLeastTimeout{ 1 };
+constexpr Milliseconds kRetryAfter{ 200 }; ///< told to refused callers
+constexpr std::uint32_t kMaxRedirects = 4; ///< by owners, for one call
+constexpr std::uint32_t kNoLimit = 0xffffffff;
+constexpr int kFirstServerError = 500;
+constexpr int kGatewayTimeout = 504;
 
 TryOutcome
 OutcomeOf(LinkError aError)
@@ -55,6 +61,7 @@
     CallRequest request;
     CallCallback callback;
     config::RouteEntry route;
+    std::string service; ///< of the route's, the one drawn for this call
     Timestamp received;
     std::int64_t receivedWall = 0;
     Timestamp deadline;
@@ -63,9 +70,14 @@
     std::vector<std::string> versions;
     std::vector<nodes::NodeId> tried;
     std::vector<Try> active;
-    std::uint32_t tries = 0;
+    std::uint32_t sendings = 0;  ///< to owners
+    std::uint32_t arrivals = 0;  ///< of those, that reached a backend server
+    std::uint32_t redirects = 0; ///< of those, that an owner turned away
     bool mayHaveRun = false;
+    bool over = false;
+    std::optional<CallResult> failure; ///< a backend server's, kept meanwhile
     runtime::EventLoop::TimerId hedgeTimer = 0;
+    runtime::EventLoop::TimerId deadlineTimer = 0;
     std::vector<std::string> steps;
   };
 
@@ -84,6 +96,9 @@
   {
     mView = std::move(aView);
     mClosed = false;
+    for (auto& [service, policy] : mRetries) {
+      policy.SetOptions(mView->retries);
+    }
   }
 
   void Close() { mClosed = true; }
@@ -92,13 +107,15 @@
 
   std::size_t InFlight() const { return mInFlight; }
 
-  void Forward(CallRequest aRequest, CallCallback aCallback)
+  CancelTask Forward(CallRequest aRequest, CallCallback aCallback)
   {
     auto call = std::make_shared<Call>();
     call->id = NewId();
     call->request = std::move(aRequest);
     call->callback = std::move(aCallback);
-    call->received = Now();
+    call->received = call->request.receivedAt == Timestamp{}
+                       ? Now()
+                       : call->request.receivedAt;
     call->receivedWall = WallMicroseconds();
     const auto parent = mServices.tracer.Begin(call->request.traceparent);
     call->parentSpan = parent.spanId;
@@ -107,18 +124,24 @@
 
     if (const std::string refusal = Admit(*call); !refusal.empty()) {
       FinishWithout(call, refusal);
-      return;
+      return {};
     }
-    mRetries.CountCall();
+    call->deadlineTimer = mServices.loop.RunAfter(
+      std::chrono::ceil<Milliseconds>(call->deadline - Now()), [this, call] {
+        call->deadlineTimer = 0;
+        FinishWithout(call, "the deadline passed");
+      });
+    RetriesFor(call->service).CountCall();
     if (!StartTry(call)) {
       FinishWithout(call,
-                    "no backend server of service \"" + call->route.service +
+                    "no backend server of service \"" + call->service +
                       "\" is known");
-      return;
+      return {};
     }
     if (call->route.callClass == CallClass::kCheck) {
       ScheduleHedge(call);
     }
+    return [this, call] { Abandon(call); };
   }
 
 private:
@@ -144,27 +167,59 @@
     if (!mView->open || mClosed) {
       return "this node does not hold a configuration that it may serve yet";
     }
-    const config::RouteEntry* route = mView->FindRoute(aCall.request.path);
+    const std::string& path = aCall.request.path;
+    const config::RouteEntry* route =
+      mView->FindRoute(aCall.request.host, path.substr(0, path.find('?')));
     if (!route) {
-      return "no route matches path \"" + aCall.request.path + "\"";
+      aCall.failure.emplace().routeMissing = true;
+      return "no route matches path \"" + path + "\" of host \"" +
+             aCall.request.host + "\"";
     }
     aCall.route = *route;
     auto timeout = route->timeout;
     if (aCall.request.timeout) {
       timeout = std::min(timeout, *aCall.request.timeout);
     }
-    if (timeout < kLeastTimeout) {
+    aCall.deadline = aCall.received + timeout;
+    if (aCall.deadline < Now() + kLeastTimeout) {
       return "the deadline has passed";
     }
-    aCall.deadline = aCall.received + timeout;
     if (!route->limit.empty() && !TakeLimit(route->limit, aCall.received)) {
       return "limit \"" + route->limit + "\" is exceeded";
     }
-    aCall.versions = mView->VersionsFor(
-      route->service, route->callClass, DrawFor(route->header.name));
+    aCall.service = DrawService(*route);
+    aCall.versions =
+      mView->VersionsFor(aCall.service,
+                         route->callClass,
+                         Draw("version " + aCall.service + " " +
+                              std::string(NameOf(config::kCallClassNames,
+                                                 route->callClass))));
+    aCall.steps.push_back("route " + route->header.name + " of version " +
+                          std::to_string(mView->config->version) +
+                          " to service " + aCall.service);
     return {};
   }
 
+  /** Returns the service that takes the next call of a route. */
+  std::string DrawService(const config::RouteEntry& aRoute)
+  {
+    if (aRoute.split.empty()) {
+      return aRoute.service;
+    }
+    double total = 0;
+    for (const auto& it : aRoute.split) {
+      total += it.weight;
+    }
+    double draw = Draw("split " + aRoute.header.name) * total;
+    for (const auto& it : aRoute.split) {
+      if (draw < it.weight) {
+        return it.service;
+      }
+      draw -= it.weight;
+    }
+    return aRoute.split.back().service;
+  }
+
   bool TakeLimit(const std::string& aName, Timestamp aNow)
   {
     const auto* entry =
@@ -179,17 +234,23 @@
     return mLimits.at(aName).bucket.Take(aNow);
   }
 
-  double DrawFor(const std::string& aRoute)
+  /** Returns the next number in [0, 1) of an evenly spread sequence. */
+  double Draw(const std::string& aSequence)
   {
     const double start = std::uniform_real_distribution<double>(0, 1)(mRandom);
-    return mDraws.try_emplace(aRoute, start).first->second.Next();
+    return mDraws.try_emplace(aSequence, start).first->second.Next();
+  }
+
+  routing::RetryPolicy& RetriesFor(const std::string& aService)
+  {
+    return mRetries.try_emplace(aService, mView->retries).first->second;
   }
 
   const routing::Target* Choose(const Call& aCall)
   {
     for (const auto& version : aCall.versions) {
       const routing::PickQuery query{
-        aCall.route.service, version, mIdentity.zone, aCall.tried
+        aCall.service, version, mIdentity.zone, aCall.tried
       };
       if (const auto* target = mPicker.Pick(*mView, query, Now())) {
         return target;
@@ -202,26 +263,29 @@
   {
     const routing::Target* target = Choose(*aCall);
     const Timestamp now = Now();
-    if (!target || now >= aCall->deadline) {
+    if (!target || now + kLeastTimeout > aCall->deadline) {
       return false;
     }
     Try next;
     next.node = target->node;
-    next.id = aCall->id + "." + std::to_string(++aCall->tries);
+    next.id = aCall->id + "." + std::to_string(++aCall->sendings);
     next.isLocal = target->node == mIdentity.node;
     next.span = mServices.tracer.Child(aCall->trace);
     next.sentAt = now;
     next.sentAtWall = WallMicroseconds();
     aCall->tried.push_back(target->node);
-    aCall->steps.push_back("try " + std::to_string(aCall->tries) + ": " +
-                           ToString(target->node) + " in " + target->zone +
-                           ", version " + target->version);
+    aCall->steps.push_back(
+      "try " + std::to_string(aCall->sendings) + ": " + ToString(target->node) +
+      " in " + target->zone + ", version " + target->version + ", expected " +
+      std::to_string(std::lround(mPicker.Cost(*target, mIdentity.zone, now))) +
+      " ms");
     mPicker.Start(target->node);
     OwnedCall owned = Owned(*aCall, next, target->version);
     const std::string id = next.id;
     if (next.isLocal) {
       next.request = mServices.owner.Run(
         std::move(owned), [this, aCall, id](CallResult aResult) {
+          mPicker.ReportLoad(mIdentity.node, mServices.owner.Load(), Now());
           OnResult(aCall, id, std::move(aResult));
         });
     } else {
@@ -237,16 +301,18 @@
     return true;
   }
 
-  static OwnedCall Owned(const Call& aCall,
-                         const Try& aTry,
-                         const std::string& aVersion)
+  OwnedCall Owned(const Call& aCall,
+                  const Try& aTry,
+                  const std::string& aVersion) const
   {
     OwnedCall owned;
     owned.callId = aTry.id;
-    owned.service = aCall.route.service;
+    owned.service = aCall.service;
     owned.version = aVersion;
     owned.route = aCall.route.header.name;
     owned.callClass = aCall.route.callClass;
+    owned.priority = aCall.route.priority;
+    owned.configVersion = mView->config->version;
     if (!aCall.request.idempotencyKey.empty()) {
       owned.idempotencyKey =
         aCall.route.header.name + "/" + aCall.request.idempotencyKey;
@@ -267,21 +333,23 @@
                     const LinkReason& aReason)
   {
     if (!aResponse) {
-      OnFailedTry(aCall, aTry, OutcomeOf(aReason.code), aReason.message, false);
+      OnFailedTry(
+        aCall, aTry, { OutcomeOf(aReason.code), aReason.message, false, false });
       return;
     }
     auto decoded = nodes::DecodeCallResult(std::move(*aResponse), aTry);
     if (!decoded) {
       OnFailedTry(aCall,
                   aTry,
-                  TryOutcome::kUnknown,
-                  "the peer's answer is not whole",
-                  false);
+                  { TryOutcome::kUnknown,
+                    "the peer's answer is not whole",
+                    false,
+                    false });
       return;
     }
     for (const auto& it : aCall->active) {
       if (it.id == aTry) {
-        mPicker.ReportLoad(it.node, decoded->busySlots, Now());
+        mPicker.ReportLoad(it.node, decoded->load, Now());
       }
     }
     OnResult(aCall, aTry, std::move(decoded->result));
@@ -291,47 +359,84 @@
                 const std::string& aTry,
                 CallResult aResult)
   {
+    if (aCall->over) {
+      return;
+    }
     if (aResult.outcome != CallOutcome::kAnswered) {
       const auto outcome = aResult.outcome == CallOutcome::kNotRun
                              ? TryOutcome::kNotRun
                              : TryOutcome::kUnknown;
       OnFailedTry(
-        aCall, aTry, outcome, aResult.reason, outcome == TryOutcome::kNotRun);
+        aCall, aTry, { outcome, aResult.reason, true, aResult.arrived });
       return;
     }
-    EndTry(aCall, aTry, true, std::to_string(aResult.status));
     aResult.callId = aCall->id;
+    if (IsWorthAnotherTry(*aCall, aResult)) {
+      const std::string why = "status " + std::to_string(aResult.status);
+      aCall->failure = std::move(aResult);
+      OnFailedTry(aCall, aTry, { TryOutcome::kUnknown, why, true, true });
+      return;
+    }
+    EndTry(aCall, aTry, true, std::to_string(aResult.status));
     Finish(aCall, std::move(aResult));
   }
 
-  /** @param aReached  true when the owner itself answered, so that its node is
-   * sound. */
+  /** A failure that the backend server itself answered. */
+  static bool IsWorthAnotherTry(const Call& aCall, const CallResult& aResult)
+  {
+    return aCall.route.callClass != CallClass::kAtMostOnce &&
+           aResult.status >= kFirstServerError &&
+           aResult.status != kGatewayTimeout;
+  }
+
+  /** How a try failed. */
+  struct Failure
+  {
+    TryOutcome outcome = TryOutcome::kUnknown;
+    std::string why;
+    bool reached = false; ///< the owner itself answered: its node is sound
+    bool arrived = false; ///< the backend server saw the call
+  };
+
   void OnFailedTry(const CallPtr& aCall,
                    const std::string& aTry,
-                   TryOutcome aOutcome,
-                   const std::string& aWhy,
-                   bool aReached)
+                   const Failure& aFailure)
   {
-    EndTry(aCall, aTry, aReached, aWhy);
-    aCall->mayHaveRun |= aOutcome == TryOutcome::kUnknown;
+    if (aCall->over) {
+      return;
+    }
+    EndTry(aCall, aTry, aFailure.reached, aFailure.why);
+    const bool arrived =
+      aFailure.arrived || aFailure.outcome == TryOutcome::kUnknown;
+    aCall->mayHaveRun |= aFailure.outcome == TryOutcome::kUnknown;
+    aCall->arrivals += arrived ? 1 : 0;
+    aCall->redirects += arrived ? 0 : 1;
     aCall->steps.push_back(
-      std::string(NameOf(routing::kTryOutcomeNames, aOutcome)) + ": " + aWhy);
+      std::string(NameOf(routing::kTryOutcomeNames, aFailure.outcome)) + ": " +
+      aFailure.why);
     if (!aCall->active.empty()) {
       return; // A hedge is still under way.
     }
-    const FailedTry failed{
-      aCall->route.callClass, aOutcome, aCall->tries, aCall->deadline
-    };
-    if (const auto refusal = mRetries.Refuse(failed, Now())) {
+    const FailedTry failed{ aCall->route.callClass,
+                            aFailure.outcome,
+                            std::max(1U, aCall->arrivals),
+                            aCall->deadline,
+                            arrived ? aCall->route.maxTries : kNoLimit,
+                            arrived };
+    if (const auto refusal =
+          aCall->redirects > kMaxRedirects
+            ? std::optional(routing::RetryRefusal::kTooManyTries)
+            : RetriesFor(aCall->service).Refuse(failed, Now())) {
       const std::string name(NameOf(routing::kRetryRefusalNames, *refusal));
       aCall->steps.push_back("no retry: " + name);
       mServices.metrics.Count("retries_refused_total", { { "reason", name } });
-      FinishWithout(aCall, aWhy);
+      FinishWithout(aCall, aFailure.why);
       return;
     }
     mServices.metrics.Count("retries_total", {});
     if (!StartTry(aCall)) {
-      FinishWithout(aCall, aWhy + "; no other backend server is left to try");
+      FinishWithout(aCall,
+                    aFailure.why + "; no other backend server is left to try");
     }
   }
 
@@ -365,8 +470,8 @@
     aCall->hedgeTimer =
       mServices.loop.RunAfter(aCall->route.slowAfter, [this, aCall] {
         aCall->hedgeTimer = 0;
-        if (!aCall->active.empty() && mRetries.TakeHedge(Now()) &&
-            StartTry(aCall)) {
+        if (!aCall->active.empty() &&
+            RetriesFor(aCall->service).TakeHedge(Now()) && StartTry(aCall)) {
           mServices.metrics.Count("hedges_total", {});
         }
       });
@@ -374,24 +479,43 @@
 
   void FinishWithout(const CallPtr& aCall, const std::string& aReason)
   {
-    CallResult result;
-    result.outcome =
-      aCall->mayHaveRun ? CallOutcome::kUnknown : CallOutcome::kNotRun;
+    if (aCall->failure && aCall->failure->outcome == CallOutcome::kAnswered) {
+      Finish(aCall, std::move(*aCall->failure));
+      return;
+    }
+    CallResult result = aCall->failure.value_or(CallResult{});
+    // A try under way may still run, unless it is known not to.
+    const bool mayRun = aCall->mayHaveRun || !aCall->active.empty();
+    result.outcome = mayRun ? CallOutcome::kUnknown : CallOutcome::kNotRun;
     result.reason = aReason;
     result.callId = aCall->id;
+    result.retryAfter = kRetryAfter;
     const std::string outcome(NameOf(kCallOutcomeNames, result.outcome));
     aCall->steps.push_back(outcome + ": " + aReason);
-    mServices.journal.Add(
-      { aCall->id, aCall->request.path, outcome, aCall->steps });
+    mServices.journal.Add({ aCall->id,
+                            aCall->request.callId,
+                            aCall->request.path,
+                            outcome,
+                            aCall->steps });
     Finish(aCall, std::move(result));
   }
 
-  void Finish(const CallPtr& aCall, CallResult aResult)
+  /** Gives up a call whose caller left. */
+  void Abandon(const CallPtr& aCall)
   {
-    --mInFlight;
-    if (aCall->hedgeTimer != 0) {
-      mServices.loop.Cancel(aCall->hedgeTimer);
+    if (!aCall->over) {
+      mServices.metrics.Count("calls_abandoned_total", {});
+      Close(aCall);
     }
+  }
+
+  /** Ends what still goes on for a call. */
+  void Close(const CallPtr& aCall)
+  {
+    aCall->over = true;
+    --mInFlight;
+    mServices.loop.Cancel(std::exchange(aCall->hedgeTimer, 0));
+    mServices.loop.Cancel(std::exchange(aCall->deadlineTimer, 0));
     for (const auto& it : std::exchange(aCall->active, {})) {
       mPicker.Finish(it.node, true, Now());
       if (it.isLocal) {
@@ -400,6 +524,14 @@
         mServices.links.Cancel(it.request);
       }
     }
+  }
+
+  void Finish(const CallPtr& aCall, CallResult aResult)
+  {
+    if (aCall->over) {
+      return;
+    }
+    Close(aCall);
     const auto elapsed = Now() - aCall->received;
     const std::string outcome(NameOf(kCallOutcomeNames, aResult.outcome));
     mServices.metrics.Count(
@@ -430,11 +562,11 @@
   Services mServices;
   Identity mIdentity;
   routing::Picker mPicker;
-  routing::RetryPolicy mRetries;
   std::mt19937_64 mRandom;
   routing::RoutingViewPtr mView;
+  std::unordered_map<std::string, routing::RetryPolicy> mRetries; ///< by service
   std::unordered_map<std::string, Limit> mLimits;
-  std::unordered_map<std::string, routing::ShareSequence> mDraws; ///< by route
+  std::unordered_map<std::string, routing::ShareSequence> mDraws; ///< by name
   std::size_t mInFlight = 0;
   bool mDraining = false;
   bool mClosed = false;
@@ -461,10 +593,10 @@
   mImpl->Close();
 }
 
-void
+CallForwarder::CancelTask
 CallForwarder::Forward(CallRequest aRequest, CallCallback aCallback)
 {
-  mImpl->Forward(std::move(aRequest), std::move(aCallback));
+  return mImpl->Forward(std::move(aRequest), std::move(aCallback));
 }
 
 void
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -1,58 +1,35 @@
 #include "knapweedpaddle/callers/CallerServer.h"
 
 #include "knapweedpaddle/common/Text.h"
+#include "knapweedpaddle/runtime/EventLoop.h"
+
 #include <algorithm>
+#include <array>
 #include <charconv>
-#include <pistache/endpoint.h>
-#include <sstream>
+#include <cstdio>
 
 namespace knapweedpaddle::callers {
 
 namespace {
 
-using Pistache::Http::Code;
-using Pistache::Http::Request;
-using Pistache::Http::ResponseWriter;
-
-constexpr std::size_t kMaxRequestBytes = 4UL * 1024 * 1024;
-constexpr std::size_t kMaxResponseBytes = 20UL * 1024 * 1024;
-constexpr std::chrono::seconds kHeaderTimeout{ 5 };
-constexpr std::chrono::seconds kBodyTimeout{ 10 };
-constexpr int kBacklog = 1024;
-
-constexpr const char* kIdempotencyHeader = "idempotency-key";
-constexpr const char* kTimeoutHeader = "knapweed-timeout-ms";
-constexpr const char* kTraceHeader = "traceparent";
-
-std::vector<HttpHeader>
-HeadersOf(const Request& aRequest)
-{
-  std::vector<HttpHeader> headers;
-  for (const auto& [name, raw] : aRequest.headers().rawList()) {
-    headers.push_back({ LowerCase(raw.name()), raw.value() });
-  }
-  for (const auto& it : aRequest.headers().list()) {
-    const std::string name = LowerCase(it->name());
-    if (std::ranges::find(headers, name, &HttpHeader::name) != headers.end()) {
-      continue;
-    }
-    std::ostringstream text;
-    it->write(text);
-    headers.push_back({ name, text.str() });
-  }
-  return headers;
-}
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr std::array<int, 4> kNotRunStatuses{ 408, 421, 429, 503 };
 
 /** Takes a header out of the list and returns its value. */
 std::string
 TakeHeader(std::vector<HttpHeader>& aHeaders, const std::string& aName)
 {
-  const auto it = std::ranges::find(aHeaders, aName, &HttpHeader::name);
-  if (it == aHeaders.end()) {
+  const std::string* found =
+    aName.empty() ? nullptr : http::FindHeader(aHeaders, aName);
+  if (!found) {
     return {};
   }
-  std::string value = std::move(it->value);
-  aHeaders.erase(it);
+  std::string value = *found;
+  http::RemoveHeader(aHeaders, aName);
   return value;
 }
 
@@ -73,179 +50,192 @@
   return true;
 }
 
-Code
-CodeFor(const CallResult& aResult)
+/** Returns a Host header's name in lower case, without its port. */
+std::string
+HostName(const std::string& aHost)
+{
+  return LowerCase(aHost.substr(0, aHost.find(':')));
+}
+
+std::string
+Seconds(Milliseconds aTime)
+{
+  std::array<char, 32> buf{};
+  std::snprintf(buf.data(),
+                buf.size(),
+                "%.3f",
+                std::chrono::duration<double>(aTime).count());
+  return buf.data();
+}
+
+int
+StatusFor(const CallResult& aResult, bool aStatusPromises)
 {
   switch (aResult.outcome) {
-    case CallOutcome::kAnswered:
-      return static_cast<Code>(aResult.status);
+    case CallOutcome::kAnswered: {
+      const bool wouldPromise =
+        aStatusPromises &&
+        std::ranges::find(kNotRunStatuses, aResult.status) !=
+          kNotRunStatuses.end();
+      return wouldPromise ? kBadGateway : aResult.status;
+    }
     case CallOutcome::kNotRun:
-      return Code::Service_Unavailable;
+      return aResult.routeMissing ? kNotFound : kUnavailable;
     case CallOutcome::kUnknown:
       break;
   }
-  return Code::Gateway_Timeout;
+  return kGatewayTimeout;
 }
 
-/** A response header with any name: Pistache sends only headers of its own
- * classes. */
-class AnyHeader : public Pistache::Http::Header::Header
+} // namespace
+
+CallerServer::CallerServer(runtime::EventLoop& aLoop,
+                           CallerDialect aDialect,
+                           Handlers aHandlers)
+  : mLoop(aLoop)
+  , mDialect(std::move(aDialect))
+  , mHandlers(std::move(aHandlers))
+  , mServer(aLoop, [this](const http::ExchangePtr& aExchange) {
+    OnExchange(aExchange);
+  })
 {
-public:
-  explicit AnyHeader(const HttpHeader& aHeader)
-    : mHeader(aHeader)
-  {
-  }
+}
 
-  const char* name() const override { return mHeader.name.c_str(); }
-  std::uint64_t hash() const override
-  {
-    return std::hash<std::string>()(mHeader.name);
+bool
+CallerServer::Listen(const std::string& aAddress, std::string& aReason)
+{
+  if (mServer.Listen(aAddress)) {
+    return true;
   }
-  void write(std::ostream& aStream) const override { aStream << mHeader.value; }
-
-private:
-  HttpHeader mHeader;
-};
-
-using WriterPtr = std::shared_ptr<ResponseWriter>;
+  aReason = "can't listen on " + aAddress + " for callers";
+  return false;
+}
 
 void
-Send(const WriterPtr& aWriter,
-     Code aCode,
-     const std::string& aBody,
-     const std::vector<HttpHeader>& aHeaders)
+CallerServer::SetLimits(const http::ServerLimits& aLimits)
 {
-  for (const auto& it : aHeaders) {
-    aWriter->headers().add(std::make_shared<AnyHeader>(it));
-  }
-  aWriter->send(aCode, aBody);
+  mServer.SetLimits(aLimits);
 }
 
 void
-SendResult(const WriterPtr& aWriter, const CallResult& aResult)
+CallerServer::SetCallerService(std::string aService)
 {
-  std::vector<HttpHeader> headers = aResult.headers;
-  headers.push_back({ "Knapweed-Call-Id", aResult.callId });
-  headers.push_back(
-    { "Knapweed-Outcome",
-      std::string(NameOf(kCallOutcomeNames, aResult.outcome)) });
-  if (aResult.outcome == CallOutcome::kAnswered) {
-    Send(aWriter, CodeFor(aResult), aResult.body, headers);
-    return;
-  }
-  headers.push_back({ "Knapweed-Reason", aResult.reason });
-  Send(aWriter, CodeFor(aResult), aResult.reason + "\n", headers);
+  mCallerService = std::move(aService);
 }
 
-class RequestHandler : public Pistache::Http::Handler
+void
+CallerServer::Drain()
 {
-public:
-  HTTP_PROTOTYPE(RequestHandler)
+  mServer.Drain();
+}
 
-  explicit RequestHandler(
-    std::shared_ptr<const CallerServer::Handlers> aHandlers)
-    : mHandlers(std::move(aHandlers))
-  {
+void
+CallerServer::OnExchange(const http::ExchangePtr& aExchange)
+{
+  CallRequest request;
+  std::string reason;
+  if (!Convert(aExchange->Message(), request, reason)) {
+    http::Response response;
+    response.status = kBadRequest;
+    response.body = reason + "\n";
+    aExchange->Respond(std::move(response));
+    return;
   }
-
-  void onRequest(const Request& aRequest, ResponseWriter aWriter) override
-  {
-    const auto writer = std::make_shared<ResponseWriter>(std::move(aWriter));
-    CallRequest request;
-    request.method = Pistache::Http::methodString(aRequest.method());
-    request.path = aRequest.resource() + aRequest.query().as_str();
-    request.headers = HeadersOf(aRequest);
-    request.body = aRequest.body();
-    request.idempotencyKey = TakeHeader(request.headers, kIdempotencyHeader);
-    request.traceparent = TakeHeader(request.headers, kTraceHeader);
-    if (!ReadTimeout(TakeHeader(request.headers, kTimeoutHeader),
-                     request.timeout)) {
-      writer->send(Code::Bad_Request,
-                   "header Knapweed-Timeout-Ms must be a whole number\n");
-      return;
-    }
-    if (request.path.starts_with(kNodePathPrefix)) {
-      mHandlers->onNodeRequest(
-        std::move(request), [writer](const HttpAnswer& aAnswer) {
-          std::vector<HttpHeader> headers = aAnswer.headers;
-          headers.push_back({ "Content-Type", aAnswer.contentType });
-          Send(
-            writer, static_cast<Code>(aAnswer.status), aAnswer.body, headers);
-        });
-      return;
-    }
-    mHandlers->onCall(std::move(request), [writer](const CallResult& aResult) {
-      SendResult(writer, aResult);
-    });
+  request.receivedAt = aExchange->ReceivedAt();
+  if (mHandlers.onNodeRequest && request.path.starts_with(kNodePathPrefix)) {
+    ServeNodeRequest(aExchange, std::move(request));
+    return;
   }
-
-private:
-  std::shared_ptr<const CallerServer::Handlers> mHandlers;
-};
-
-} // namespace
-
-class CallerServer::Impl
-{
-public:
-  Impl(Handlers aHandlers, std::uint32_t aThreads)
-    : handlers(std::make_shared<const Handlers>(std::move(aHandlers)))
-    , threads(aThreads)
-  {
+  const std::string callerId = request.callId;
+  auto cancel = mHandlers.onCall(
+    std::move(request), [this, aExchange, callerId](const CallResult& aResult) {
+      aExchange->Respond(ResponseFor(aResult, callerId));
+    });
+  if (cancel) {
+    aExchange->OnGone(std::move(cancel));
   }
-
-  std::shared_ptr<const Handlers> handlers;
-  std::uint32_t threads;
-  std::unique_ptr<Pistache::Http::Endpoint> endpoint;
-};
-
-CallerServer::CallerServer(Handlers aHandlers, std::uint32_t aThreads)
-  : mImpl(std::make_unique<Impl>(std::move(aHandlers), aThreads))
-{
-}
-
-CallerServer::~CallerServer()
-{
-  Stop();
 }
 
 bool
-CallerServer::Start(const std::string& aAddress,
-                    std::uint16_t aPort,
-                    std::string& aReason)
+CallerServer::Convert(http::Request& aMessage,
+                      CallRequest& aRequest,
+                      std::string& aReason) const
 {
-  using Pistache::Tcp::Options;
-  try {
-    const Pistache::Address address(aAddress, Pistache::Port(aPort));
-    auto endpoint = std::make_unique<Pistache::Http::Endpoint>(address);
-    endpoint->init(
-      Pistache::Http::Endpoint::options()
-        .threads(static_cast<int>(mImpl->threads))
-        .flags(Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay)
-        .backlog(kBacklog)
-        .maxRequestSize(kMaxRequestBytes)
-        .maxResponseSize(kMaxResponseBytes)
-        .headerTimeout(kHeaderTimeout)
-        .bodyTimeout(kBodyTimeout));
-    endpoint->setHandler(std::make_shared<RequestHandler>(mImpl->handlers));
-    endpoint->serveThreaded();
-    mImpl->endpoint = std::move(endpoint);
-    return true;
-  } catch (const std::exception& e) {
-    aReason = "can't listen on " + aAddress + ":" + std::to_string(aPort) +
-              " for callers: " + e.what();
+  if (const std::string* host = http::FindHeader(aMessage.headers, "host")) {
+    aRequest.host = HostName(*host);
+  }
+  aRequest.method = std::move(aMessage.method);
+  aRequest.path = std::move(aMessage.target);
+  aRequest.headers = http::EndToEnd(aMessage.headers);
+  aRequest.body = std::move(aMessage.body);
+  if (!mDialect.callId.empty()) {
+    const std::string* id =
+      http::FindHeader(aRequest.headers, mDialect.callId);
+    aRequest.callId = id ? *id : "";
+  }
+  aRequest.idempotencyKey =
+    TakeHeader(aRequest.headers, mDialect.idempotencyKey);
+  aRequest.traceparent = TakeHeader(aRequest.headers, mDialect.trace);
+  if (!mDialect.callerService.empty()) {
+    http::RemoveHeader(aRequest.headers, mDialect.callerService);
+    aRequest.headers.push_back({ mDialect.callerService, mCallerService });
+  }
+  if (!ReadTimeout(TakeHeader(aRequest.headers, mDialect.timeoutMs),
+                   aRequest.timeout)) {
+    aReason = "header " + mDialect.timeoutMs + " must be a whole number";
     return false;
   }
+  return true;
 }
 
 void
-CallerServer::Stop()
+CallerServer::ServeNodeRequest(const http::ExchangePtr& aExchange,
+                               CallRequest aRequest)
+{
+  mHandlers.onNodeRequest(
+    std::move(aRequest), [this, aExchange](HttpAnswer aAnswer) {
+      http::Response response;
+      response.status = aAnswer.status;
+      response.headers = std::move(aAnswer.headers);
+      response.headers.push_back({ "Content-Type", aAnswer.contentType });
+      response.body = std::move(aAnswer.body);
+      mLoop.Post([aExchange, response = std::move(response)] {
+        aExchange->Respond(response);
+      });
+    });
+}
+
+http::Response
+CallerServer::ResponseFor(const CallResult& aResult,
+                          const std::string& aCallerId) const
 {
-  if (mImpl->endpoint) {
-    mImpl->endpoint->shutdown();
-    mImpl->endpoint.reset();
+  http::Response response;
+  response.status = StatusFor(aResult, mDialect.statusPromises);
+  const bool answered = aResult.outcome == CallOutcome::kAnswered &&
+                        response.status == aResult.status;
+  const auto add = [&response](const std::string& aName,
+                               const std::string& aValue) {
+    if (!aName.empty()) {
+      response.headers.push_back({ aName, aValue });
+    }
+  };
+  if (answered) {
+    response.reason = aResult.phrase;
+    response.headers = aResult.headers;
+    response.body = aResult.body;
+  } else {
+    add(aCallerId.empty() ? "" : mDialect.callId, aCallerId);
+    add(mDialect.reason, aResult.reason);
+    response.body = aResult.reason + "\n";
+    if (aResult.outcome == CallOutcome::kNotRun && aResult.retryAfter &&
+        !aResult.routeMissing) {
+      add(mDialect.retryAfter, Seconds(*aResult.retryAfter));
+    }
   }
+  add(mDialect.ownCallId, aResult.callId);
+  add(mDialect.outcome,
+      std::string(NameOf(kCallOutcomeNames, aResult.outcome)));
+  return response;
 }
 
 } // namespace knapweedpaddle::callers
--- a/src/config/EntryCodec.cpp
+++ b/src/config/EntryCodec.cpp
@@ -26,12 +26,19 @@
 void
 AddFields(Json& aJson, const RouteEntry& aEntry)
 {
+  aJson["host"] = aEntry.host;
   aJson["path_prefix"] = aEntry.pathPrefix;
   aJson["service"] = aEntry.service;
+  for (const auto& it : aEntry.split) {
+    aJson["split"].push_back(
+      Json{ { "service", it.service }, { "weight", it.weight } });
+  }
   aJson["limit"] = aEntry.limit;
   aJson["class"] = NameOf(kCallClassNames, aEntry.callClass);
   aJson["timeout_ms"] = aEntry.timeout.count();
   aJson["slow_after_ms"] = aEntry.slowAfter.count();
+  aJson["priority"] = aEntry.priority;
+  aJson["max_tries"] = aEntry.maxTries;
 }
 
 void
@@ -71,18 +78,39 @@
   return entry;
 }
 
+std::vector<RouteShare>
+SplitFrom(const Json* aArray)
+{
+  std::vector<RouteShare> split;
+  for (std::size_t n = 0; aArray && n < aArray->size(); ++n) {
+    FieldReader reader((*aArray)[n], "split " + std::to_string(n + 1));
+    RouteShare share;
+    share.service = reader.Text("service");
+    share.weight = reader.Number("weight", share.weight);
+    reader.Finish();
+    split.push_back(std::move(share));
+  }
+  return split;
+}
+
 Entry
 ReadRoute(FieldReader& aReader)
 {
   RouteEntry entry;
+  entry.host = aReader.Text("host", false);
   entry.pathPrefix = aReader.Text("path_prefix");
-  entry.service = aReader.Text("service");
+  entry.split = SplitFrom(aReader.Array("split"));
+  entry.service = aReader.Text("service", entry.split.empty());
   entry.limit = aReader.Text("limit", false);
   entry.callClass = aReader.Name("class", kCallClassNames, entry.callClass);
   entry.timeout =
     Milliseconds(aReader.Integer("timeout_ms", entry.timeout.count()));
   entry.slowAfter =
     Milliseconds(aReader.Integer("slow_after_ms", entry.slowAfter.count()));
+  entry.priority =
+    static_cast<std::uint32_t>(aReader.Integer("priority", entry.priority));
+  entry.maxTries =
+    static_cast<std::uint32_t>(aReader.Integer("max_tries", entry.maxTries));
   return entry;
 }
 
--- a/src/config/Validate.cpp
+++ b/src/config/Validate.cpp
@@ -77,7 +77,7 @@
     if (aEntry.pathPrefix.starts_with("/-/")) {
       return Fail("path_prefix \"/-/\" is reserved for the node");
     }
-    if (!mPrefixes.insert(aEntry.pathPrefix).second) {
+    if (!mPrefixes.emplace(aEntry.host, aEntry.pathPrefix).second) {
       return Fail("path_prefix \"" + aEntry.pathPrefix +
                   "\" is taken by another route");
     }
@@ -87,13 +87,37 @@
     if (aEntry.slowAfter.count() < 1) {
       return Fail("slow_after_ms must be at least 1");
     }
-    if (!CheckReference(EntryKind::kService, aEntry.service)) {
+    if (aEntry.maxTries < 1) {
+      return Fail("max_tries must be at least 1");
+    }
+    if (!CheckDestinations(aEntry)) {
       return false;
     }
     return aEntry.limit.empty() ||
            CheckReference(EntryKind::kLimit, aEntry.limit);
   }
 
+  bool CheckDestinations(const RouteEntry& aEntry)
+  {
+    if (aEntry.split.empty()) {
+      return CheckReference(EntryKind::kService, aEntry.service);
+    }
+    if (!aEntry.service.empty()) {
+      return Fail("service and split exclude each other");
+    }
+    double total = 0;
+    for (const auto& it : aEntry.split) {
+      if (it.weight < 0) {
+        return Fail("weights must not be negative");
+      }
+      if (!CheckReference(EntryKind::kService, it.service)) {
+        return false;
+      }
+      total += it.weight;
+    }
+    return total > 0 || Fail("weights must not all be 0");
+  }
+
   bool Check(const LimitEntry& aEntry)
   {
     if (!(aEntry.ratePerSecond > 0)) {
@@ -138,7 +162,7 @@
   const Snapshot& mSnapshot;
   ConfigReason& mReason;
   std::string mId;
-  std::set<std::string> mPrefixes;
+  std::set<std::pair<std::string, std::string>> mPrefixes; ///< with their host
   std::set<std::string> mMoving;
 };
 
--- /dev/null
+++ b/src/http/Message.cpp
@@ -0,0 +1,149 @@
+#include "knapweedpaddle/http/Message.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <http_parser.h>
+
+namespace knapweedpaddle::http {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> kHopHeaders{
+  "connection",       "keep-alive", "transfer-encoding", "content-length",
+  "proxy-connection", "te",         "trailer",           "upgrade",
+  "expect",           "http2-settings",
+};
+
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+std::string_view
+Trimmed(std::string_view aText)
+{
+  const auto first = aText.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
+}
+
+/** True when a comma separated list holds a name. */
+bool
+ListHolds(std::string_view aList, std::string_view aName)
+{
+  while (!aList.empty()) {
+    const auto comma = std::min(aList.find(','), aList.size());
+    if (SameName(Trimmed(aList.substr(0, comma)), aName)) {
+      return true;
+    }
+    aList.remove_prefix(std::min(comma + 1, aList.size()));
+  }
+  return false;
+}
+
+bool
+IsHopHeader(const std::vector<Header>& aAll, std::string_view aName)
+{
+  if (std::ranges::any_of(kHopHeaders, [aName](std::string_view aHop) {
+        return SameName(aHop, aName);
+      })) {
+    return true;
+  }
+  return std::ranges::any_of(aAll, [aName](const Header& aHeader) {
+    return SameName(aHeader.name, "connection") &&
+           ListHolds(aHeader.value, aName);
+  });
+}
+
+void
+AppendHeaders(std::string& aOut, const std::vector<Header>& aHeaders)
+{
+  for (const auto& it : aHeaders) {
+    aOut.append(it.name).append(": ").append(it.value).append("\r\n");
+  }
+}
+
+bool
+HasBody(const Request& aRequest)
+{
+  return !aRequest.body.empty() ||
+         (aRequest.method != "GET" && aRequest.method != "HEAD" &&
+          aRequest.method != "DELETE" && aRequest.method != "OPTIONS");
+}
+
+} // namespace
+
+bool
+SameName(std::string_view aFirst, std::string_view aSecond)
+{
+  return std::ranges::equal(
+    aFirst, aSecond, [](unsigned char aLeft, unsigned char aRight) {
+      return std::tolower(aLeft) == std::tolower(aRight);
+    });
+}
+
+const std::string*
+FindHeader(const std::vector<Header>& aHeaders, std::string_view aName)
+{
+  const auto it = std::ranges::find_if(aHeaders, [aName](const Header& aItem) {
+    return SameName(aItem.name, aName);
+  });
+  return it == aHeaders.end() ? nullptr : &it->value;
+}
+
+void
+RemoveHeader(std::vector<Header>& aHeaders, std::string_view aName)
+{
+  std::erase_if(aHeaders, [aName](const Header& aItem) {
+    return SameName(aItem.name, aName);
+  });
+}
+
+std::vector<Header>
+EndToEnd(const std::vector<Header>& aHeaders)
+{
+  std::vector<Header> out;
+  std::ranges::copy_if(
+    aHeaders, std::back_inserter(out), [&aHeaders](const Header& aItem) {
+      return !IsHopHeader(aHeaders, aItem.name);
+    });
+  return out;
+}
+
+std::string
+Serialize(const Request& aRequest)
+{
+  std::string out = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
+  AppendHeaders(out, aRequest.headers);
+  if (HasBody(aRequest)) {
+    out += "Content-Length: " + std::to_string(aRequest.body.size()) + "\r\n";
+  }
+  return out.append("\r\n").append(aRequest.body);
+}
+
+std::string
+Serialize(const Response& aResponse, bool aClose, bool aToHead)
+{
+  const std::string& phrase = aResponse.reason;
+  std::string out = "HTTP/1.1 " + std::to_string(aResponse.status) + " " +
+                    (phrase.empty() ? ReasonPhrase(aResponse.status) : phrase) +
+                    "\r\n";
+  AppendHeaders(out, aResponse.headers);
+  if (aResponse.status != kNoContent && aResponse.status != kNotModified) {
+    out += "Content-Length: " + std::to_string(aResponse.body.size()) + "\r\n";
+  }
+  if (aClose) {
+    out += "Connection: close\r\n";
+  }
+  out += "\r\n";
+  return aToHead ? out : out.append(aResponse.body);
+}
+
+std::string
+ReasonPhrase(int aStatus)
+{
+  return http_status_str(static_cast<http_status>(aStatus));
+}
+
+} // namespace knapweedpaddle::http
--- /dev/null
+++ b/src/http/MessageParser.cpp
@@ -0,0 +1,297 @@
+#include "knapweedpaddle/http/MessageParser.h"
+
+#include <http_parser.h>
+
+namespace knapweedpaddle::http {
+
+class MessageParser::Impl
+{
+public:
+  Impl(Kind aKind, ParseLimits aLimits)
+    : mKind(aKind)
+  {
+    Restart(aLimits, false);
+  }
+
+  void Restart(ParseLimits aLimits, bool aToHead)
+  {
+    http_parser_init(&mParser,
+                     mKind == Kind::kRequests ? HTTP_REQUEST : HTTP_RESPONSE);
+    mParser.data = this;
+    mLimits = aLimits;
+    mToHead = aToHead;
+    state = State::kReading;
+    error = ParseError::kNone;
+    started = false;
+    headersComplete = false;
+    mHeaderBytes = 0;
+    mInValue = false;
+    target.clear();
+    reason.clear();
+    headers.clear();
+    body.clear();
+  }
+
+  std::size_t Feed(const char* aData, std::size_t aSize)
+  {
+    if (state != State::kReading || aSize == 0) {
+      return 0;
+    }
+    started = true;
+    const std::size_t used =
+      http_parser_execute(&mParser, &Settings(), aData, aSize);
+    NoteEnd();
+    return used;
+  }
+
+  void FinishInput()
+  {
+    if (state == State::kReading) {
+      http_parser_execute(&mParser, &Settings(), nullptr, 0);
+      NoteEnd();
+    }
+  }
+
+  bool ExpectsContinue() const
+  {
+    const std::string* expect = FindHeader(headers, "expect");
+    return headersComplete && expect && SameName(*expect, "100-continue");
+  }
+
+  bool KeepAlive() const { return keepAlive; }
+  int Status() const { return static_cast<int>(mParser.status_code); }
+  std::string Method() const
+  {
+    return http_method_str(static_cast<http_method>(mParser.method));
+  }
+
+  State state = State::kReading;
+  ParseError error = ParseError::kNone;
+  bool started = false;
+  bool headersComplete = false;
+  bool keepAlive = true;
+  std::string target;
+  std::string reason;
+  std::vector<Header> headers;
+  std::string body;
+
+private:
+  static Impl& Self(http_parser* aParser)
+  {
+    return *static_cast<Impl*>(aParser->data);
+  }
+
+  static const http_parser_settings& Settings()
+  {
+    static const http_parser_settings kSettings = [] {
+      http_parser_settings settings;
+      http_parser_settings_init(&settings);
+      settings.on_url = &Impl::OnTarget;
+      settings.on_status = &Impl::OnReason;
+      settings.on_header_field = &Impl::OnHeaderName;
+      settings.on_header_value = &Impl::OnHeaderValue;
+      settings.on_headers_complete = &Impl::OnHeadersComplete;
+      settings.on_body = &Impl::OnBody;
+      settings.on_message_complete = &Impl::OnMessageComplete;
+      return settings;
+    }();
+    return kSettings;
+  }
+
+  void NoteEnd()
+  {
+    const auto code = HTTP_PARSER_ERRNO(&mParser);
+    if (state == State::kComplete || code == HPE_OK) {
+      return;
+    }
+    state = State::kFailed;
+    if (error != ParseError::kNone) {
+      return;
+    }
+    switch (code) {
+      case HPE_HEADER_OVERFLOW:
+        error = ParseError::kHeadersTooLarge;
+        break;
+      case HPE_INVALID_TRANSFER_ENCODING:
+        error = ParseError::kUnsupportedEncoding;
+        break;
+      default:
+        error = ParseError::kMalformed;
+        break;
+    }
+  }
+
+  int Fail(ParseError aError)
+  {
+    error = aError;
+    return 1;
+  }
+
+  int AddHeaderBytes(std::size_t aSize)
+  {
+    constexpr std::size_t kSeparatorBytes = 2;
+    mHeaderBytes += aSize + kSeparatorBytes;
+    return mHeaderBytes > mLimits.headerBytes
+             ? Fail(ParseError::kHeadersTooLarge)
+             : 0;
+  }
+
+  static int OnTarget(http_parser* aParser, const char* aAt, std::size_t aSize)
+  {
+    Self(aParser).target.append(aAt, aSize);
+    return Self(aParser).AddHeaderBytes(aSize);
+  }
+
+  static int OnReason(http_parser* aParser, const char* aAt, std::size_t aSize)
+  {
+    Self(aParser).reason.append(aAt, aSize);
+    return 0;
+  }
+
+  static int OnHeaderName(http_parser* aParser,
+                          const char* aAt,
+                          std::size_t aSize)
+  {
+    Impl& self = Self(aParser);
+    if (self.headersComplete) {
+      return 0; // A trailer field, which is dropped.
+    }
+    if (self.mInValue || self.headers.empty()) {
+      self.headers.emplace_back();
+      self.mInValue = false;
+    }
+    self.headers.back().name.append(aAt, aSize);
+    return self.AddHeaderBytes(aSize);
+  }
+
+  static int OnHeaderValue(http_parser* aParser,
+                           const char* aAt,
+                           std::size_t aSize)
+  {
+    Impl& self = Self(aParser);
+    if (self.headersComplete) {
+      return 0;
+    }
+    self.mInValue = true;
+    self.headers.back().value.append(aAt, aSize);
+    return self.AddHeaderBytes(aSize);
+  }
+
+  static int OnHeadersComplete(http_parser* aParser)
+  {
+    constexpr int kNoBodyFollows = 1;
+    Impl& self = Self(aParser);
+    self.headersComplete = true;
+    aParser->upgrade = 0; // No protocol but HTTP is spoken.
+    const bool hasLength = (aParser->flags & F_CONTENTLENGTH) != 0;
+    if (hasLength && !self.mToHead &&
+        aParser->content_length > self.mLimits.bodyBytes) {
+      self.Fail(ParseError::kBodyTooLarge);
+      return -1;
+    }
+    return self.mToHead ? kNoBodyFollows : 0;
+  }
+
+  static int OnBody(http_parser* aParser, const char* aAt, std::size_t aSize)
+  {
+    Impl& self = Self(aParser);
+    if (self.body.size() + aSize > self.mLimits.bodyBytes) {
+      return self.Fail(ParseError::kBodyTooLarge);
+    }
+    self.body.append(aAt, aSize);
+    return 0;
+  }
+
+  static int OnMessageComplete(http_parser* aParser)
+  {
+    Impl& self = Self(aParser);
+    self.state = State::kComplete;
+    self.keepAlive = http_should_keep_alive(aParser) != 0;
+    http_parser_pause(aParser, 1);
+    return 0;
+  }
+
+  Kind mKind;
+  ParseLimits mLimits;
+  http_parser mParser{};
+  bool mToHead = false;
+  bool mInValue = false;
+  std::size_t mHeaderBytes = 0;
+};
+
+MessageParser::MessageParser(Kind aKind, ParseLimits aLimits)
+  : mImpl(std::make_unique<Impl>(aKind, aLimits))
+{
+}
+
+MessageParser::~MessageParser() = default;
+
+void
+MessageParser::Restart(ParseLimits aLimits, bool aToHead)
+{
+  mImpl->Restart(aLimits, aToHead);
+}
+
+std::size_t
+MessageParser::Feed(const char* aData, std::size_t aSize)
+{
+  return mImpl->Feed(aData, aSize);
+}
+
+void
+MessageParser::FinishInput()
+{
+  mImpl->FinishInput();
+}
+
+MessageParser::State
+MessageParser::Current() const
+{
+  return mImpl->state;
+}
+
+ParseError
+MessageParser::Error() const
+{
+  return mImpl->error;
+}
+
+bool
+MessageParser::Started() const
+{
+  return mImpl->started;
+}
+
+bool
+MessageParser::HeadersComplete() const
+{
+  return mImpl->headersComplete;
+}
+
+bool
+MessageParser::ExpectsContinue() const
+{
+  return mImpl->ExpectsContinue();
+}
+
+Request
+MessageParser::TakeRequest()
+{
+  return { mImpl->Method(),
+           std::move(mImpl->target),
+           std::move(mImpl->headers),
+           std::move(mImpl->body),
+           mImpl->KeepAlive() };
+}
+
+Response
+MessageParser::TakeResponse()
+{
+  return { mImpl->Status(),
+           std::move(mImpl->reason),
+           std::move(mImpl->headers),
+           std::move(mImpl->body),
+           mImpl->KeepAlive() };
+}
+
+} // namespace knapweedpaddle::http
--- /dev/null
+++ b/src/http/ServerConnection.cpp
@@ -0,0 +1,308 @@
+#include "ServerConnection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+namespace knapweedpaddle::http {
+
+namespace {
+
+constexpr Milliseconds kLingerTime{ 1000 }; ///< lets the client read an answer
+constexpr std::size_t kMaxUnparsedBytes = 256UL * 1024; ///< of pipelined input
+
+constexpr int kRequestTimeout = 408;
+
+/** Status for a request that can't be read. */
+int
+StatusFor(ParseError aError)
+{
+  switch (aError) {
+    case ParseError::kHeadersTooLarge:
+      return 431;
+    case ParseError::kBodyTooLarge:
+      return 413;
+    case ParseError::kUnsupportedEncoding:
+      return 501;
+    case ParseError::kNone:
+    case ParseError::kMalformed:
+      break;
+  }
+  return 400;
+}
+
+} // namespace
+
+class ServerConnection::PendingExchange : public Exchange
+{
+public:
+  PendingExchange(std::weak_ptr<ServerConnection> aConnection, Request aRequest)
+    : mConnection(std::move(aConnection))
+    , mRequest(std::move(aRequest))
+    , mReceivedAt(std::chrono::steady_clock::now())
+  {
+  }
+
+  Request& Message() override { return mRequest; }
+  Timestamp ReceivedAt() const override { return mReceivedAt; }
+
+  void Respond(Response aResponse) override
+  {
+    if (const auto connection = mConnection.lock(); connection && !mAnswered) {
+      mAnswered = true;
+      connection->Answer(aResponse);
+    }
+  }
+
+  void OnGone(std::function<void()> aTask) override
+  {
+    mOnGone = std::move(aTask);
+  }
+
+  void Gone()
+  {
+    mAnswered = true;
+    if (const auto task = std::exchange(mOnGone, nullptr)) {
+      task();
+    }
+  }
+
+private:
+  std::weak_ptr<ServerConnection> mConnection;
+  Request mRequest;
+  Timestamp mReceivedAt;
+  std::function<void()> mOnGone;
+  bool mAnswered = false;
+};
+
+/** The C callbacks of libevent. */
+struct ServerConnectionCallbacks
+{
+  static std::shared_ptr<ServerConnection> Self(void* aSelf)
+  {
+    return static_cast<ServerConnection*>(aSelf)->shared_from_this();
+  }
+
+  static void OnReadable(bufferevent*, void* aSelf)
+  {
+    Self(aSelf)->OnReadable();
+  }
+
+  static void OnFlushed(bufferevent*, void* aSelf) { Self(aSelf)->OnFlushed(); }
+
+  static void OnEvent(bufferevent*, short, void* aSelf)
+  {
+    Self(aSelf)->OnInputEnded();
+  }
+};
+
+ServerConnection::ServerConnection(ServerContext& aContext,
+                                   bufferevent* aBuffer,
+                                   Ended aEnded)
+  : mContext(aContext)
+  , mBuffer(aBuffer)
+  , mEnded(std::move(aEnded))
+  , mParser(MessageParser::Kind::kRequests, Limits())
+{
+}
+
+ServerConnection::~ServerConnection()
+{
+  mContext.loop.Cancel(mTimer);
+  bufferevent_free(mBuffer);
+}
+
+void
+ServerConnection::Start()
+{
+  bufferevent_setcb(mBuffer,
+                    &ServerConnectionCallbacks::OnReadable,
+                    &ServerConnectionCallbacks::OnFlushed,
+                    &ServerConnectionCallbacks::OnEvent,
+                    this);
+  bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
+  RestartTimer(mContext.limits.idleTimeout);
+}
+
+ParseLimits
+ServerConnection::Limits() const
+{
+  return { mContext.limits.headerBytes, mContext.limits.bodyBytes };
+}
+
+void
+ServerConnection::OnReadable()
+{
+  evbuffer* input = bufferevent_get_input(mBuffer);
+  if (mLingering) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
+  if (mExchange) {
+    if (evbuffer_get_length(input) > kMaxUnparsedBytes) {
+      bufferevent_disable(mBuffer, EV_READ);
+    }
+    return;
+  }
+  Parse();
+}
+
+void
+ServerConnection::Parse()
+{
+  evbuffer* input = bufferevent_get_input(mBuffer);
+  while (!mOver && !mExchange && !mLingering) {
+    const std::size_t size = evbuffer_get_length(input);
+    if (size == 0) {
+      return;
+    }
+    const bool wasStarted = mParser.Started();
+    const auto* data =
+      reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+    const std::size_t used = mParser.Feed(data, size);
+    evbuffer_drain(input, used);
+    switch (mParser.Current()) {
+      case MessageParser::State::kComplete:
+        Dispatch();
+        break;
+      case MessageParser::State::kFailed:
+        RefuseMalformed();
+        return;
+      case MessageParser::State::kReading:
+        if (!wasStarted) {
+          RestartTimer(mContext.limits.headerTimeout);
+        }
+        if (mParser.ExpectsContinue() && !mContinueSent) {
+          static constexpr std::string_view kContinue =
+            "HTTP/1.1 100 Continue\r\n\r\n";
+          mContinueSent = true;
+          bufferevent_write(mBuffer, kContinue.data(), kContinue.size());
+        }
+        return;
+    }
+  }
+}
+
+void
+ServerConnection::Dispatch()
+{
+  mContext.loop.Cancel(std::exchange(mTimer, 0));
+  Request request = mParser.TakeRequest();
+  mKeepAlive = request.keepAlive;
+  mToHead = request.method == "HEAD";
+  mContinueSent = false;
+  mParser.Restart(Limits());
+  mExchange =
+    std::make_shared<PendingExchange>(weak_from_this(), std::move(request));
+  ++mContext.inFlight;
+  mContext.handler(mExchange);
+}
+
+void
+ServerConnection::RefuseMalformed()
+{
+  Response response;
+  response.status = StatusFor(mParser.Error());
+  const std::string bytes = Serialize(response, true, false);
+  bufferevent_write(mBuffer, bytes.data(), bytes.size());
+  CloseGracefully();
+}
+
+void
+ServerConnection::Answer(const Response& aResponse)
+{
+  if (mOver || !mExchange) {
+    return;
+  }
+  mExchange.reset();
+  --mContext.inFlight;
+  const bool close = !mKeepAlive || mContext.draining;
+  const std::string bytes = Serialize(aResponse, close, mToHead);
+  bufferevent_write(mBuffer, bytes.data(), bytes.size());
+  if (close) {
+    CloseGracefully();
+    return;
+  }
+  bufferevent_enable(mBuffer, EV_READ);
+  RestartTimer(mContext.limits.idleTimeout);
+  // Later, so that a handler that answers at once is not entered again.
+  mContext.loop.Post([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Parse();
+    }
+  });
+}
+
+void
+ServerConnection::OnInputEnded()
+{
+  if (mOver) {
+    return;
+  }
+  if (const auto exchange = std::exchange(mExchange, nullptr)) {
+    --mContext.inFlight;
+    End();
+    exchange->Gone();
+    return;
+  }
+  End();
+}
+
+void
+ServerConnection::OnFlushed()
+{
+  if (mLingering && !mOver) {
+    shutdown(bufferevent_getfd(mBuffer), SHUT_WR);
+  }
+}
+
+void
+ServerConnection::CloseGracefully()
+{
+  // Closing with unread input would reset the connection, and the client
+  // might lose the answer.
+  mLingering = true;
+  bufferevent_enable(mBuffer, EV_READ);
+  evbuffer* input = bufferevent_get_input(mBuffer);
+  evbuffer_drain(input, evbuffer_get_length(input));
+  RestartTimer(kLingerTime);
+}
+
+void
+ServerConnection::RestartTimer(Milliseconds aDelay)
+{
+  mContext.loop.Cancel(mTimer);
+  mTimer = mContext.loop.RunAfter(aDelay, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnTimer();
+    }
+  });
+}
+
+void
+ServerConnection::OnTimer()
+{
+  mTimer = 0;
+  if (mLingering || !mParser.Started()) {
+    End();
+    return;
+  }
+  Response response;
+  response.status = kRequestTimeout;
+  const std::string bytes = Serialize(response, true, false);
+  bufferevent_write(mBuffer, bytes.data(), bytes.size());
+  CloseGracefully();
+}
+
+void
+ServerConnection::End()
+{
+  if (!mOver) {
+    mOver = true;
+    bufferevent_disable(mBuffer, EV_READ | EV_WRITE);
+    mEnded(this);
+  }
+}
+
+} // namespace knapweedpaddle::http
--- /dev/null
+++ b/src/moves/RolloutBoard.cpp
@@ -0,0 +1,140 @@
+#include "knapweedpaddle/moves/RolloutBoard.h"
+
+#include "knapweedpaddle/routing/VersionSelector.h"
+
+#include <algorithm>
+
+namespace knapweedpaddle::moves {
+
+namespace {
+
+constexpr std::array<double, 4> kShares{ 0.05, 0.25, 0.5, 1 };
+/** Marks the progress of a rollout among that of catalogue moves. */
+constexpr std::string_view kProgressPrefix = "rollout/";
+
+double
+ShareAtStage(RolloutStage aStage)
+{
+  const auto n = static_cast<std::size_t>(aStage);
+  return kShares[std::min(n, kShares.size() - 1)];
+}
+
+} // namespace
+
+bool
+RolloutBoard::AddOrder(const operators::RolloutOrder& aOrder, Timestamp aNow)
+{
+  const auto it = mRollouts.find(aOrder.service);
+  if (it != mRollouts.end() &&
+      it->second.order.revision >= aOrder.revision) {
+    if (it->second.order.revision == aOrder.revision) {
+      // A peer's progress tells less than the order itself.
+      it->second.order = aOrder;
+    }
+    return false;
+  }
+  Rollout rollout;
+  rollout.order = aOrder;
+  rollout.seenAt = aNow;
+  rollout.stageAt = aNow;
+  mRollouts.insert_or_assign(aOrder.service, std::move(rollout));
+  return true;
+}
+
+bool
+RolloutBoard::Merge(const nodes::MoveProgress& aProgress, Timestamp aNow)
+{
+  if (!aProgress.move.starts_with(kProgressPrefix) ||
+      aProgress.stage > static_cast<std::uint32_t>(RolloutStage::kRecorded)) {
+    return false;
+  }
+  const std::string name = aProgress.move.substr(kProgressPrefix.size());
+  const auto slash = std::min(name.find('/'), name.size());
+  const std::string service = name.substr(0, slash);
+  const auto it = mRollouts.find(service);
+  if (it == mRollouts.end() ||
+      it->second.order.revision < aProgress.revision) {
+    operators::RolloutOrder unknown;
+    unknown.service = service;
+    unknown.toVersion = name.substr(std::min(slash + 1, name.size()));
+    unknown.revision = aProgress.revision;
+    AddOrder(unknown, aNow);
+  } else if (it->second.order.revision > aProgress.revision) {
+    return false;
+  }
+  return Advance(service,
+                 static_cast<RolloutStage>(aProgress.stage),
+                 aProgress.condemned,
+                 aProgress.reason,
+                 aNow);
+}
+
+bool
+RolloutBoard::Advance(const std::string& aService,
+                      RolloutStage aStage,
+                      bool aCondemned,
+                      const std::string& aReason,
+                      Timestamp aNow)
+{
+  const auto it = mRollouts.find(aService);
+  if (it == mRollouts.end()) {
+    return false;
+  }
+  Rollout& rollout = it->second;
+  const bool grows = aStage > rollout.stage ||
+                     (aCondemned && !rollout.condemned &&
+                      rollout.stage < RolloutStage::kRecorded);
+  if (!grows) {
+    return false;
+  }
+  if (aStage > rollout.stage) {
+    rollout.stage = aStage;
+    rollout.stageAt = aNow;
+  }
+  if (aCondemned && !rollout.condemned) {
+    rollout.condemned = true;
+    rollout.reason = aReason;
+  }
+  return true;
+}
+
+std::vector<nodes::MoveProgress>
+RolloutBoard::Progress() const
+{
+  std::vector<nodes::MoveProgress> out;
+  for (const auto& [service, rollout] : mRollouts) {
+    nodes::MoveProgress progress;
+    progress.move = std::string(kProgressPrefix) + service + "/" +
+                    rollout.order.toVersion;
+    progress.revision = rollout.order.revision;
+    progress.stage = static_cast<std::uint32_t>(rollout.stage);
+    progress.condemned = rollout.condemned;
+    progress.reason = rollout.reason;
+    out.push_back(std::move(progress));
+  }
+  return out;
+}
+
+routing::VersionShare
+RolloutBoard::ShareOf(const std::string& aService) const
+{
+  routing::VersionShare share;
+  share.exclusive = true;
+  const auto it = mRollouts.find(aService);
+  if (it == mRollouts.end()) {
+    return share;
+  }
+  const Rollout& rollout = it->second;
+  const routing::VersionSelector others{ rollout.order.toVersion, true };
+  share.fromVersion = others.ToString();
+  share.toVersion = rollout.order.toVersion;
+  share.condemned = rollout.condemned;
+  share.share = ShareAtStage(rollout.stage);
+  share.onceShare = share.share;
+  if (rollout.stage == RolloutStage::kRecorded && !rollout.condemned) {
+    share.exclusive = false;
+  }
+  return share;
+}
+
+} // namespace knapweedpaddle::moves
--- a/src/node/ClaimBridge.h
+++ b/src/node/ClaimBridge.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "knapweedpaddle/platform/ClaimBatcher.h"
+#include "knapweedpaddle/store/ClaimBatcher.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
 
 namespace knapweedpaddle::node {
@@ -16,7 +16,7 @@
   }
 
   /** Sets who answers the claims. Call before the loops run. */
-  void SetBatcher(platform::ClaimBatcher& aBatcher) { mBatcher = &aBatcher; }
+  void SetBatcher(store::ClaimBatcher& aBatcher) { mBatcher = &aBatcher; }
 
   void Claim(const std::string& aKey,
              const std::string& aCallId,
@@ -34,7 +34,7 @@
 private:
   runtime::EventLoop& mTraffic;
   runtime::EventLoop& mControl;
-  platform::ClaimBatcher* mBatcher = nullptr;
+  store::ClaimBatcher* mBatcher = nullptr;
 };
 
 } // namespace knapweedpaddle::node
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -1,5 +1,6 @@
 #include "ControlPlane.h"
 
+#include "PeerRequests.h"
 #include "knapweedpaddle/telemetry/Log.h"
 
 namespace knapweedpaddle::node {
@@ -9,9 +10,6 @@
 constexpr Milliseconds kSecond{ 1000 };
 constexpr Milliseconds kClaimTick{ 20 };
 constexpr Milliseconds kSettleTime{ 300 }; ///< lets peers hear of a leave
-constexpr int kStatusOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
 
 nodes::MemberRecord
 SelfRecord(const settings::NodeSettings& aSettings)
@@ -26,29 +24,21 @@
   return record;
 }
 
-nodes::LinkResponse
-Response(int aStatus, std::string aBody)
-{
-  nodes::LinkResponse response;
-  response.status = aStatus;
-  response.body = std::move(aBody);
-  return response;
-}
-
 } // namespace
 
 ControlPlane::ControlPlane(Services aServices,
                            const settings::NodeSettings& aSettings,
+                           const store::StoreFactory& aMakeStore,
                            std::uint64_t aSeed)
   : mServices(aServices)
   , mSettings(aSettings)
-  , mPlatform(aServices.loop,
-              aSettings.platform,
-              aSettings.platformTimeout,
-              [this](std::size_t aSent, std::size_t aReceived) {
-                CountControlBytes("platform", aSent, aReceived);
-              })
-  , mClaims(mPlatform, aSettings.claimWritesPerSecond)
+  , mStore(aMakeStore(aServices.loop,
+                      aSettings.platform,
+                      aSettings.platformTimeout,
+                      [this](std::size_t aSent, std::size_t aReceived) {
+                        CountControlBytes("platform", aSent, aReceived);
+                      }))
+  , mClaims(*mStore, aSettings.claimWritesPerSecond)
   , mPeers(aServices.loop,
            [this](const char* aKind, std::size_t aSent, std::size_t aReceived) {
              CountControlBytes(aKind, aSent, aReceived);
@@ -62,14 +52,14 @@
   , mCore(
       {
         aServices.loop,
-        mPlatform,
+        *mStore,
         mPeers,
         [this](const nodes::Datagram& aDatagram) { mGossip.Send(aDatagram); },
         [this](routing::RoutingViewPtr aView) {
           mTraffic->SetView(std::move(aView));
         },
         [this](std::optional<backends::BackendServer> aBackend) {
-          mTraffic->SetBackend(std::move(aBackend));
+          mTraffic->SetBackend(std::move(aBackend), {});
         },
         Note,
       },
@@ -79,7 +69,7 @@
   , mApi(operators::OperatorApi::Services{
            mCore.Acceptor(),
            mCore.Config().Store(),
-           mPlatform,
+           *mStore,
            mCore.Members(),
            aServices.journal,
            aServices.metrics,
@@ -131,40 +121,10 @@
   const auto request =
     std::make_shared<nodes::LinkRequest>(std::move(aRequest));
   mServices.loop.Post([this, request, respond = std::move(aRespond)] {
-    respond(AnswerLink(*request));
+    respond(AnswerPeer(mCore, *request));
   });
 }
 
-nodes::LinkResponse
-ControlPlane::AnswerLink(const nodes::LinkRequest& aRequest)
-{
-  if (nodes::HeaderValue(aRequest.headers, "protocol") !=
-      std::to_string(nodes::kProtocolVersion)) {
-    return Response(kBadRequest, "the protocol version is not known here");
-  }
-  if (aRequest.path == kJoinPath) {
-    const auto peer = nodes::DecodeJoinRequest(aRequest.body);
-    return peer
-             ? Response(kStatusOk, nodes::EncodeJoinAnswer(mCore.OnJoin(*peer)))
-             : Response(kBadRequest, "not a join request");
-  }
-  if (aRequest.path == kPullPath) {
-    const auto from = nodes::DecodePullRequest(aRequest.body);
-    return from
-             ? Response(kStatusOk, nodes::EncodePullAnswer(mCore.OnPull(*from)))
-             : Response(kBadRequest, "not a pull request");
-  }
-  if (aRequest.path == moves::kEvidencePath) {
-    const auto report = moves::DecodeEvidence(aRequest.body);
-    if (!report) {
-      return Response(kBadRequest, "not an evidence report");
-    }
-    mCore.OnReport(*report);
-    return Response(kStatusOk, "");
-  }
-  return Response(kNotFound, "path \"" + aRequest.path + "\" does not exist");
-}
-
 void
 ControlPlane::TakeEvidence(const backends::EvidenceTable& aEvidence)
 {
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -5,8 +5,8 @@
 #include "knapweedpaddle/node/ControlCore.h"
 #include "knapweedpaddle/nodes/GossipSocket.h"
 #include "knapweedpaddle/operators/OperatorApi.h"
-#include "knapweedpaddle/platform/ClaimBatcher.h"
-#include "knapweedpaddle/platform/HttpPlatformClient.h"
+#include "knapweedpaddle/store/ClaimBatcher.h"
+#include "knapweedpaddle/store/StoreFactory.h"
 
 namespace knapweedpaddle::node {
 
@@ -29,11 +29,12 @@
 
   ControlPlane(Services aServices,
                const settings::NodeSettings& aSettings,
+               const store::StoreFactory& aMakeStore,
                std::uint64_t aSeed);
 
   /** Before the loops run. */
   void SetTraffic(TrafficPlane& aTraffic) { mTraffic = &aTraffic; }
-  platform::ClaimBatcher& Claims() { return mClaims; }
+  store::ClaimBatcher& Claims() { return mClaims; }
 
   /** Binds the gossip socket and starts timers. Before the loop runs. */
   bool Start();
@@ -57,7 +58,6 @@
   void Leave(std::function<void()> aDone);
 
 private:
-  nodes::LinkResponse AnswerLink(const nodes::LinkRequest& aRequest);
   void OnSecond();
   void ExportSpans();
   void CountControlBytes(const std::string& aKind,
@@ -68,8 +68,8 @@
   Services mServices;
   const settings::NodeSettings& mSettings;
   TrafficPlane* mTraffic = nullptr;
-  platform::HttpPlatformClient mPlatform;
-  platform::ClaimBatcher mClaims;
+  std::unique_ptr<store::StoreClient> mStore;
+  store::ClaimBatcher mClaims;
   LinkPeerClient mPeers;
   nodes::GossipSocket mGossip;
   ControlCore mCore;
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -1,6 +1,6 @@
 #include "knapweedpaddle/node/MemberAgent.h"
 
-#include "knapweedpaddle/platform/CatalogueRows.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 
 #include <algorithm>
 
@@ -115,11 +115,11 @@
 void
 MemberAgent::RemoveRow()
 {
-  platform::Transaction transaction;
+  store::Transaction transaction;
   transaction.writes.push_back(
-    { platform::kMemberPrefix + ToString(mMembers.Self().node), "", true });
+    { store::kMemberPrefix + ToString(mMembers.Self().node), "", true });
   mServices.platform.Commit(std::move(transaction),
-                            [](bool, const platform::PlatformReason&) {});
+                            [](bool, const store::StoreReason&) {});
 }
 
 std::string
@@ -134,8 +134,8 @@
 MemberAgent::ReadRows()
 {
   const auto onRows =
-    [this](const std::optional<std::vector<platform::Row>>& aRows,
-           const platform::PlatformReason&) {
+    [this](const std::optional<std::vector<store::Row>>& aRows,
+           const store::StoreReason&) {
       std::vector<std::string> addresses = mSeeds;
       if (aRows) {
         for (const auto& it : *aRows) {
@@ -151,16 +151,16 @@
     };
   // From a random place, so that a herd doesn't ask the same few peers.
   const std::string first =
-    platform::kMemberPrefix + std::to_string(mRandom() % 256);
+    store::kMemberPrefix + std::to_string(mRandom() % 256);
   mServices.platform.ReadRange(
-    platform::kMemberPrefix,
+    store::kMemberPrefix,
     first,
     kRowsRead,
-    [this, onRows](const std::optional<std::vector<platform::Row>>& aRows,
-                   const platform::PlatformReason& aReason) {
+    [this, onRows](const std::optional<std::vector<store::Row>>& aRows,
+                   const store::StoreReason& aReason) {
       if (aRows && aRows->size() < kPeersAsked) {
         mServices.platform.ReadRange(
-          platform::kMemberPrefix, platform::kMemberPrefix, kRowsRead, onRows);
+          store::kMemberPrefix, store::kMemberPrefix, kRowsRead, onRows);
         return;
       }
       onRows(aRows, aReason);
@@ -173,14 +173,14 @@
   if (mRowWritten) {
     return;
   }
-  platform::Transaction transaction;
+  store::Transaction transaction;
   transaction.writes.push_back(
-    { platform::kMemberPrefix + ToString(mMembers.Self().node),
+    { store::kMemberPrefix + ToString(mMembers.Self().node),
       LinkAddress(mMembers.Self()),
       false });
   mServices.platform.Commit(
     std::move(transaction),
-    [this](bool aDone, const platform::PlatformReason&) {
+    [this](bool aDone, const store::StoreReason&) {
       mRowWritten |= aDone;
     });
 }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -2,14 +2,12 @@
 
 #include "ClaimBridge.h"
 #include "ControlPlane.h"
+#include "StopSignals.h"
 #include "TrafficPlane.h"
-#include "knapweedpaddle/callers/CallerServer.h"
 #include "knapweedpaddle/telemetry/Log.h"
 
 #include <csignal>
-#include <sys/signalfd.h>
 #include <thread>
-#include <unistd.h>
 
 namespace knapweedpaddle::node {
 
@@ -32,18 +30,19 @@
   return static_cast<std::uint64_t>(device()) << 32 | device();
 }
 
-/** Blocks the stop signals in all threads and returns a descriptor that reads
- * them. */
-int
-OpenStopSignals()
+TrafficPlane::Options
+TrafficOptions(const settings::NodeSettings& aSettings)
 {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+  TrafficPlane::Options options;
+  options.node = *nodes::ParseNodeId(aSettings.address + ":" +
+                                     std::to_string(aSettings.gossipPort));
+  options.address = aSettings.address;
+  options.linkPort = aSettings.linkPort;
+  options.callerAddress =
+    aSettings.address + ":" + std::to_string(aSettings.callerPort);
+  options.zone = aSettings.zone;
+  options.checkSlots = aSettings.checkSlots;
+  return options;
 }
 
 } // namespace
@@ -51,7 +50,7 @@
 class Node::Impl
 {
 public:
-  explicit Impl(settings::NodeSettings aSettings)
+  Impl(settings::NodeSettings aSettings, const store::StoreFactory& aMakeStore)
     : mSettings(std::move(aSettings))
     , mTracer("knapweedd " + mSettings.address + ":" +
                 std::to_string(mSettings.callerPort),
@@ -61,6 +60,7 @@
     , mClaims(mTrafficLoop, mControlLoop)
     , mControl({ mControlLoop, mMetrics, mTracer, mJournal },
                mSettings,
+               aMakeStore,
                RandomSeed())
     , mTraffic({ mTrafficLoop,
                  mClaims,
@@ -75,19 +75,14 @@
                  [this](const backends::EvidenceTable& aEvidence) {
                    mControl.TakeEvidence(aEvidence);
                  },
-                 [this] { mControl.NotePause(); } },
-               mSettings,
+                 [this] { mControl.NotePause(); },
+                 [this](callers::CallRequest aRequest,
+                        callers::CallerServer::Respond aRespond) {
+                   mControl.HandleNodeRequest(std::move(aRequest),
+                                              std::move(aRespond));
+                 } },
+               TrafficOptions(mSettings),
                RandomSeed())
-    , mServer({ [this](callers::CallRequest aRequest,
-                       callers::CallCallback aCallback) {
-                 mTraffic.Forward(std::move(aRequest), std::move(aCallback));
-               },
-                [this](callers::CallRequest aRequest,
-                       callers::CallerServer::Respond aRespond) {
-                  mControl.HandleNodeRequest(std::move(aRequest),
-                                             std::move(aRespond));
-                } },
-              mSettings.callerThreads)
   {
     mControl.SetTraffic(mTraffic);
     mClaims.SetBatcher(mControl.Claims());
@@ -95,25 +90,19 @@
 
   int Run()
   {
-    const int signals = OpenStopSignals();
+    WatchSignals(mControlLoop, [this](int aSignal) {
+      if (aSignal != SIGHUP) {
+        BeginStop();
+      }
+    });
     std::string reason;
-    if (!mTraffic.Listen()) {
-      return Fail("can't listen on link_port " +
-                  std::to_string(mSettings.linkPort));
+    if (!mTraffic.Listen(reason)) {
+      return Fail(reason);
     }
     if (!mControl.Start()) {
       return Fail("can't bind gossip_port " +
                   std::to_string(mSettings.gossipPort));
     }
-    if (!mServer.Start(mSettings.address, mSettings.callerPort, reason)) {
-      return Fail(reason);
-    }
-    mControlLoop.WatchReadable(signals, [this, signals] {
-      signalfd_siginfo info{};
-      if (read(signals, &info, sizeof(info)) == sizeof(info)) {
-        BeginStop();
-      }
-    });
     LogEvent(LogCategory::kNode,
              LogLevel::kInfo,
              "started",
@@ -122,10 +111,8 @@
                { "zone", mSettings.zone } });
     std::thread traffic([this] { mTrafficLoop.Run(); });
     mControlLoop.Run();
-    mServer.Stop();
     mTrafficLoop.Stop();
     traffic.join();
-    close(signals);
     LogEvent(LogCategory::kNode,
              LogLevel::kInfo,
              "stopped",
@@ -183,14 +170,14 @@
   ClaimBridge mClaims;
   ControlPlane mControl;
   TrafficPlane mTraffic;
-  callers::CallerServer mServer;
   Timestamp mDrainUntil;
   int mExitCode = kGraceful;
   bool mStopping = false;
 };
 
-Node::Node(settings::NodeSettings aSettings)
-  : mImpl(std::make_unique<Impl>(std::move(aSettings)))
+Node::Node(settings::NodeSettings aSettings,
+           const store::StoreFactory& aMakeStore)
+  : mImpl(std::make_unique<Impl>(std::move(aSettings), aMakeStore))
 {
 }
 
--- /dev/null
+++ b/src/node/PeerRequests.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "LinkPeerClient.h"
+#include "knapweedpaddle/nodes/Link.h"
+
+namespace knapweedpaddle::node {
+
+/** Makes an answer to a peer. */
+inline nodes::LinkResponse
+PeerAnswer(int aStatus, std::string aBody)
+{
+  nodes::LinkResponse response;
+  response.status = aStatus;
+  response.body = std::move(aBody);
+  return response;
+}
+
+/** Answers a peer's request that is not a call, from a core's state. */
+template<typename Core>
+nodes::LinkResponse
+AnswerPeer(Core& aCore, const nodes::LinkRequest& aRequest)
+{
+  constexpr int kStatusOk = 200;
+  constexpr int kBadRequest = 400;
+  constexpr int kNotFound = 404;
+  if (nodes::HeaderValue(aRequest.headers, "protocol") !=
+      std::to_string(nodes::kProtocolVersion)) {
+    return PeerAnswer(kBadRequest, "the protocol version is not known here");
+  }
+  if (aRequest.path == kJoinPath) {
+    const auto peer = nodes::DecodeJoinRequest(aRequest.body);
+    return peer ? PeerAnswer(kStatusOk,
+                             nodes::EncodeJoinAnswer(aCore.OnJoin(*peer)))
+                : PeerAnswer(kBadRequest, "not a join request");
+  }
+  if (aRequest.path == kPullPath) {
+    const auto from = nodes::DecodePullRequest(aRequest.body);
+    return from ? PeerAnswer(kStatusOk,
+                             nodes::EncodePullAnswer(aCore.OnPull(*from)))
+                : PeerAnswer(kBadRequest, "not a pull request");
+  }
+  if (aRequest.path == moves::kEvidencePath) {
+    const auto report = moves::DecodeEvidence(aRequest.body);
+    if (!report) {
+      return PeerAnswer(kBadRequest, "not an evidence report");
+    }
+    aCore.OnReport(*report);
+    return PeerAnswer(kStatusOk, "");
+  }
+  return PeerAnswer(kNotFound,
+                    "path \"" + aRequest.path + "\" does not exist");
+}
+
+} // namespace knapweedpaddle::node
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -16,38 +16,43 @@
 constexpr Milliseconds kEvidenceEvery{ 500 };
 constexpr int kBadRequest = 400;
 
-nodes::NodeId
-NodeOf(const settings::NodeSettings& aSettings)
-{
-  return *nodes::ParseNodeId(aSettings.address + ":" +
-                             std::to_string(aSettings.gossipPort));
-}
-
 } // namespace
 
 TrafficPlane::TrafficPlane(Services aServices,
-                           const settings::NodeSettings& aSettings,
+                           Options aOptions,
                            std::uint64_t aSeed)
   : mServices(std::move(aServices))
-  , mSettings(aSettings)
+  , mOptions(std::move(aOptions))
   , mPauses(kLongestGap)
   , mStaleness(kStaleGap)
-  , mOwner(
-      { mServices.loop, mServices.claims, mServices.metrics, mServices.tracer },
-      aSettings.checkSlots)
-  , mLinks(mServices.loop, nodes::LinkClientOptions{})
+  , mOwner({ mServices.loop,
+             mServices.claims,
+             mServices.metrics,
+             mServices.tracer,
+             mOptions.backendDialect },
+           mOptions.checkSlots)
+  , mLinks(mServices.loop, mOptions.links)
   , mForwarder({ mServices.loop,
                  mLinks,
                  mOwner,
                  mServices.metrics,
                  mServices.tracer,
                  mServices.journal },
-               { NodeOf(aSettings), aSettings.zone },
+               { mOptions.node, mOptions.zone },
                aSeed)
   , mServer(mServices.loop,
             [this](LinkRequest aRequest, const LinkResponderPtr& aResponder) {
               OnLinkRequest(std::move(aRequest), aResponder);
             })
+  , mCallers(mServices.loop,
+             mOptions.callerDialect,
+             { [this](callers::CallRequest aRequest,
+                      callers::CallCallback aCallback) {
+                CloseAfterPause();
+                return mForwarder.Forward(std::move(aRequest),
+                                          std::move(aCallback));
+              },
+               mServices.onNodeRequest })
 {
   mServices.loop.RunEvery(kTick, [this] { OnTick(); });
   mServices.loop.RunEvery(kEvidenceEvery, [this] {
@@ -59,9 +64,14 @@
 }
 
 bool
-TrafficPlane::Listen()
+TrafficPlane::Listen(std::string& aReason)
 {
-  return mServer.Listen(mSettings.address, mSettings.linkPort).has_value();
+  if (!mServer.Listen(mOptions.address, mOptions.linkPort)) {
+    aReason = "can't listen on " + mOptions.address + ":" +
+              std::to_string(mOptions.linkPort) + " for links";
+    return false;
+  }
+  return mCallers.Listen(mOptions.callerAddress, aReason);
 }
 
 void
@@ -72,28 +82,41 @@
 }
 
 void
-TrafficPlane::SetBackend(std::optional<backends::BackendServer> aBackend)
+TrafficPlane::SetBackend(std::optional<backends::BackendServer> aBackend,
+                         std::function<void()> aDone)
 {
   mServices.loop.Post(
-    [this, backend = std::move(aBackend)] { mOwner.SetBackend(backend); });
+    [this, backend = std::move(aBackend), done = std::move(aDone)] {
+      mOwner.SetBackend(backend);
+      if (done) {
+        done();
+      }
+    });
 }
 
 void
-TrafficPlane::Forward(callers::CallRequest aRequest,
-                      callers::CallCallback aCallback)
+TrafficPlane::SetCallerLimits(const http::ServerLimits& aLimits)
 {
-  const auto request =
-    std::make_shared<callers::CallRequest>(std::move(aRequest));
-  mServices.loop.Post([this, request, callback = std::move(aCallback)] {
-    CloseAfterPause();
-    mForwarder.Forward(std::move(*request), callback);
-  });
+  mServices.loop.Post([this, aLimits] { mCallers.SetLimits(aLimits); });
+}
+
+void
+TrafficPlane::SetCallerService(const std::string& aService)
+{
+  mServices.loop.Post([this, aService] { mCallers.SetCallerService(aService); });
+}
+
+void
+TrafficPlane::AnnounceEnd()
+{
+  mServices.loop.Post([this] { mCallers.Drain(); });
 }
 
 void
 TrafficPlane::Drain()
 {
   mServices.loop.Post([this] {
+    mCallers.Drain();
     mForwarder.Drain();
     mOwner.Drain();
     mServer.GoAway();
@@ -179,7 +202,7 @@
             elapsed.count(),
             std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) });
       }
-      aResponder->Respond(nodes::EncodeCallResult(aResult, mOwner.BusySlots()));
+      aResponder->Respond(nodes::EncodeCallResult(aResult, mOwner.Load()));
     });
   aResponder->OnCancel([this, run] { mOwner.Cancel(run); });
 }
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -2,9 +2,9 @@
 
 #include "knapweedpaddle/backends/CallOwner.h"
 #include "knapweedpaddle/callers/CallForwarder.h"
+#include "knapweedpaddle/callers/CallerServer.h"
 #include "knapweedpaddle/common/PauseDetector.h"
 #include "knapweedpaddle/nodes/LinkServer.h"
-#include "knapweedpaddle/settings/NodeSettings.h"
 
 namespace knapweedpaddle::node {
 
@@ -30,25 +30,56 @@
       onControl;
     std::function<void(const backends::EvidenceTable&)> onEvidence;
     std::function<void()> onPause;
+    /** Answers callers' requests for the node itself, or empty. */
+    std::function<void(callers::CallRequest, callers::CallerServer::Respond)>
+      onNodeRequest;
   };
 
-  TrafficPlane(Services aServices,
-               const settings::NodeSettings& aSettings,
-               std::uint64_t aSeed);
+  /** What the plane is told at its start. */
+  struct Options
+  {
+    nodes::NodeId node = nodes::kNoNode;
+    std::string address; ///< IPv4 address of the link port
+    std::uint16_t linkPort = 0;
+    std::string callerAddress; ///< "IP:port"
+    std::string zone;
+    std::uint32_t checkSlots = 0;
+    callers::CallerDialect callerDialect;
+    backends::BackendDialect backendDialect;
+    nodes::LinkClientOptions links;
+  };
+
+  TrafficPlane(Services aServices, Options aOptions, std::uint64_t aSeed);
 
-  /** Listens for links; false when the port is taken. Before the loop runs. */
-  bool Listen();
+  /**
+   * Listens for links and callers. Before the loop runs.
+   *
+   * @return false, with the reason in aReason, when a port is taken.
+   */
+  bool Listen(std::string& aReason);
 
   /** Any thread. */
   void SetView(routing::RoutingViewPtr aView);
 
+  /**
+   * Sets the own backend server.
+   *
+   * @param aDone  runs on the traffic thread once it holds; may be empty.
+   * Any thread.
+   */
+  void SetBackend(std::optional<backends::BackendServer> aBackend,
+                  std::function<void()> aDone);
+
+  /** Any thread. */
+  void SetCallerLimits(const http::ServerLimits& aLimits);
+
   /** Any thread. */
-  void SetBackend(std::optional<backends::BackendServer> aBackend);
+  void SetCallerService(const std::string& aService);
 
-  /** Any thread; the callback runs on the traffic thread. */
-  void Forward(callers::CallRequest aRequest, callers::CallCallback aCallback);
+  /** Ends callers' connections with their next answers. Any thread. */
+  void AnnounceEnd();
 
-  /** Any thread. Refuses new work and tells peers. */
+  /** Refuses new calls of callers and peers. Any thread. */
   void Drain();
 
   /** Traffic thread: number of calls under way. */
@@ -63,13 +94,14 @@
   void CloseAfterPause();
 
   Services mServices;
-  const settings::NodeSettings& mSettings;
+  Options mOptions;
   PauseDetector mPauses; ///< after which the configuration may be out of date
   PauseDetector mStaleness; ///< after which calls may have waited unread
   backends::CallOwner mOwner;
   nodes::LinkClient mLinks;
   callers::CallForwarder mForwarder;
   nodes::LinkServer mServer;
+  callers::CallerServer mCallers;
   backends::EvidenceTable mReported;
 };
 
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -1,7 +1,9 @@
 #include "knapweedpaddle/nodes/CallCodec.h"
 
+#include "knapweedpaddle/common/Text.h"
 #include "knapweedpaddle/nodes/GossipCodec.h"
 
+#include <array>
 #include <charconv>
 
 namespace knapweedpaddle::nodes {
@@ -33,7 +35,7 @@
              const std::vector<callers::HttpHeader>& aHeaders)
 {
   for (const auto& it : aHeaders) {
-    aOut.push_back({ kForwardedPrefix + it.name, it.value });
+    aOut.push_back({ kForwardedPrefix + LowerCase(it.name), it.value });
   }
 }
 
@@ -49,6 +51,40 @@
   return out;
 }
 
+/** "busy,queued,slots,service ms,failed percent". */
+std::string
+EncodeLoad(const backends::ServerLoad& aLoad)
+{
+  std::string text;
+  for (const std::uint32_t it : { aLoad.busy,
+                                  aLoad.queued,
+                                  aLoad.slots,
+                                  aLoad.serviceMs,
+                                  aLoad.failedPercent }) {
+    text += (text.empty() ? "" : ",") + std::to_string(it);
+  }
+  return text;
+}
+
+std::optional<backends::ServerLoad>
+DecodeLoad(const std::string& aText)
+{
+  std::array<std::uint32_t, 5> values{};
+  const char* at = aText.data();
+  const char* last = aText.data() + aText.size();
+  for (std::size_t n = 0; n < values.size(); ++n) {
+    const auto [end, ec] = std::from_chars(at, last, values[n]);
+    const bool ends = n + 1 == values.size();
+    if (ec != std::errc() || (ends ? end != last : end == last || *end != ',')) {
+      return std::nullopt;
+    }
+    at = ends ? end : end + 1;
+  }
+  return backends::ServerLoad{
+    values[0], values[1], values[2], values[3], values[4]
+  };
+}
+
 } // namespace
 
 LinkRequest
@@ -64,17 +100,26 @@
     { "protocol", std::to_string(kProtocolVersion) },
     { "call-id", aCall.callId },
     { "service", aCall.service },
-    { "version", aCall.version },
     { "route", aCall.route },
     { "class", std::string(NameOf(config::kCallClassNames, aCall.callClass)) },
-    { "key", aCall.idempotencyKey },
     { "timeout-us", std::to_string(left.count()) },
     { "slow-ms", std::to_string(aCall.slowAfter.count()) },
-    { "trace", aCall.trace.ToHeader() },
     { "method", aCall.method },
     { "target", aCall.path },
     { "length", std::to_string(aCall.body.size()) }
   };
+  // What most calls lack costs no bytes.
+  const auto add = [&request](const char* aName, const std::string& aValue) {
+    if (!aValue.empty()) {
+      request.headers.push_back({ aName, aValue });
+    }
+  };
+  add("version", aCall.version);
+  add("key", aCall.idempotencyKey);
+  add("trace", aCall.trace.sampled ? aCall.trace.ToHeader() : "");
+  add("priority", aCall.priority > 0 ? std::to_string(aCall.priority) : "");
+  add("config",
+      aCall.configVersion > 0 ? std::to_string(aCall.configVersion) : "");
   AddForwarded(request.headers, aCall.headers);
   request.body = aCall.body;
   return request;
@@ -108,6 +153,9 @@
   call.callId = callId;
   call.service = header("service");
   call.version = header("version");
+  call.priority =
+    static_cast<std::uint32_t>(Number(header("priority")).value_or(0));
+  call.configVersion = Number(header("config")).value_or(0);
   call.route = header("route");
   call.callClass = *callClass;
   call.idempotencyKey = header("key");
@@ -123,7 +171,7 @@
 }
 
 LinkResponse
-EncodeCallResult(const CallResult& aResult, std::uint32_t aBusySlots)
+EncodeCallResult(const CallResult& aResult, const backends::ServerLoad& aLoad)
 {
   LinkResponse response;
   response.status = kStatusOk;
@@ -132,10 +180,18 @@
     { "outcome",
       std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) },
     { "status", std::to_string(aResult.status) },
-    { "reason", aResult.reason },
-    { "busy", std::to_string(aBusySlots) },
+    { "load", EncodeLoad(aLoad) },
     { "length", std::to_string(aResult.body.size()) }
   };
+  if (!aResult.reason.empty()) {
+    response.headers.push_back({ "reason", aResult.reason });
+  }
+  if (!aResult.phrase.empty()) {
+    response.headers.push_back({ "phrase", aResult.phrase });
+  }
+  if (aResult.arrived) {
+    response.headers.push_back({ "arrived", "1" });
+  }
   AddForwarded(response.headers, aResult.headers);
   response.body = aResult.body;
   return response;
@@ -149,18 +205,20 @@
   };
   const auto outcome = ValueOf(callers::kCallOutcomeNames, header("outcome"));
   const auto status = Number(header("status"));
-  const auto busy = Number(header("busy"));
+  const auto load = DecodeLoad(header("load"));
   const auto length = Number(header("length"));
-  if (aResponse.status != kStatusOk || !outcome || !status || !busy ||
+  if (aResponse.status != kStatusOk || !outcome || !status || !load ||
       !length || *length != aResponse.body.size() ||
       header("call-id") != aCallId) {
     return std::nullopt;
   }
   DecodedCallResult decoded;
-  decoded.busySlots = static_cast<std::uint32_t>(*busy);
+  decoded.load = *load;
   decoded.result.outcome = *outcome;
   decoded.result.status = static_cast<int>(*status);
   decoded.result.reason = header("reason");
+  decoded.result.phrase = header("phrase");
+  decoded.result.arrived = !header("arrived").empty();
   decoded.result.callId = aCallId;
   decoded.result.headers = TakeForwarded(aResponse.headers);
   decoded.result.body = std::move(aResponse.body);
--- a/src/nodes/LinkClient.cpp
+++ b/src/nodes/LinkClient.cpp
@@ -1,10 +1,9 @@
 #include "knapweedpaddle/nodes/LinkClient.h"
 
 #include "LinkSession.h"
-#include "knapweedpaddle/nodes/MemberRecord.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
+#include "runtime/SocketAddress.h"
 
-#include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
 #include <nghttp2/nghttp2.h>
@@ -107,20 +106,15 @@
 
   Connection* Connect(const std::string& aAddress)
   {
-    const auto node = ParseNodeId(aAddress);
-    if (!node) {
+    auto address = runtime::SocketAddress(aAddress);
+    if (!address) {
       return nullptr;
     }
-    const auto value = static_cast<std::uint64_t>(*node);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(value));
-    address.sin_addr.s_addr = htonl(static_cast<std::uint32_t>(value >> 16));
     bufferevent* buffer =
       bufferevent_socket_new(mLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
     if (bufferevent_socket_connect(buffer,
-                                   reinterpret_cast<sockaddr*>(&address),
-                                   sizeof(address)) != 0) {
+                                   reinterpret_cast<sockaddr*>(&*address),
+                                   sizeof(*address)) != 0) {
       bufferevent_free(buffer);
       return nullptr;
     }
--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
 constexpr std::uint32_t kMaxStreams = 4096;
-constexpr std::size_t kMaxHeaderCount = 64;
+constexpr std::size_t kMaxHeaderCount = 512;
 
 nghttp2_nv
 Field(const std::string& aName, const std::string& aValue)
--- a/src/operators/Acceptor.cpp
+++ b/src/operators/Acceptor.cpp
@@ -1,6 +1,6 @@
 #include "knapweedpaddle/operators/Acceptor.h"
 
-#include "knapweedpaddle/platform/CatalogueRows.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 
 namespace knapweedpaddle::operators {
 
@@ -8,9 +8,9 @@
 using config::ChangeRequest;
 using config::EntryId;
 using config::Snapshot;
-using platform::PlatformError;
-using platform::PlatformReason;
-using platform::Row;
+using store::StoreError;
+using store::StoreReason;
+using store::Row;
 
 namespace {
 
@@ -49,9 +49,9 @@
   bool mayHaveWritten = false; ///< a commit brought no answer
 };
 
-Acceptor::Acceptor(platform::PlatformClient& aPlatform,
+Acceptor::Acceptor(store::StoreClient& aPlatform,
                    config::ConfigStore& aStore,
-                   platform::CatalogueReader& aReader,
+                   store::CatalogueReader& aReader,
                    std::function<void()> aChanged)
   : mPlatform(aPlatform)
   , mStore(aStore)
@@ -81,10 +81,10 @@
     return;
   }
   mPlatform.Read(
-    { platform::OperationKey(aAttempt->request.operationId),
-      platform::kHeadKey },
+    { store::OperationKey(aAttempt->request.operationId),
+      store::kHeadKey },
     [this, aAttempt](const std::optional<std::vector<Row>>& aRows,
-                     const PlatformReason& aReason) {
+                     const StoreReason& aReason) {
       if (!aRows || aRows->size() != 2) {
         Finish(aAttempt,
                aAttempt->mayHaveWritten ? AcceptOutcome::kUnknown
@@ -95,12 +95,12 @@
       const Row& operation = (*aRows)[0];
       const Row& head = (*aRows)[1];
       if (operation.revision != 0) {
-        aAttempt->change.version = platform::VersionOf(operation).value_or(0);
+        aAttempt->change.version = store::VersionOf(operation).value_or(0);
         OnAccepted(aAttempt);
         return;
       }
       aAttempt->headRevision = head.revision;
-      const std::uint64_t version = platform::VersionOf(head).value_or(0);
+      const std::uint64_t version = store::VersionOf(head).value_or(0);
       aAttempt->change.version = version + 1;
       mReader.CatchUp(version, [this, aAttempt, version](bool aReached) {
         if (!aReached) {
@@ -197,28 +197,28 @@
 Acceptor::Commit(const AttemptPtr& aAttempt)
 {
   const Change& change = aAttempt->change;
-  const std::string operationKey = platform::OperationKey(change.operationId);
+  const std::string operationKey = store::OperationKey(change.operationId);
   const std::string version = std::to_string(change.version);
-  platform::Transaction transaction;
-  transaction.conditions = { { platform::kHeadKey, aAttempt->headRevision },
+  store::Transaction transaction;
+  transaction.conditions = { { store::kHeadKey, aAttempt->headRevision },
                              { operationKey, 0 } };
   transaction.writes = {
-    { platform::kHeadKey, version, false },
-    { platform::ChangeKey(change.version), EncodeChange(change), false },
+    { store::kHeadKey, version, false },
+    { store::ChangeKey(change.version), EncodeChange(change), false },
     { operationKey, version, false }
   };
   mPlatform.Commit(std::move(transaction),
-                   [this, aAttempt](bool aDone, const PlatformReason& aReason) {
+                   [this, aAttempt](bool aDone, const StoreReason& aReason) {
                      if (aDone) {
                        OnAccepted(aAttempt);
                        return;
                      }
                      switch (aReason.code) {
-                       case PlatformError::kOutcomeUnknown:
+                       case StoreError::kOutcomeUnknown:
                          aAttempt->mayHaveWritten = true;
                          Begin(aAttempt);
                          return;
-                       case PlatformError::kConflict:
+                       case StoreError::kConflict:
                          Begin(aAttempt);
                          return;
                        default:
@@ -251,24 +251,24 @@
 {
   const config::SnapshotPtr snapshot = mStore.Current();
   const std::uint64_t version = snapshot->version;
-  const auto onPut = [this, version](bool aDone, const PlatformReason&) {
+  const auto onPut = [this, version](bool aDone, const StoreReason&) {
     if (!aDone) {
       return;
     }
-    platform::Transaction transaction;
+    store::Transaction transaction;
     transaction.writes.push_back(
-      { platform::kSnapshotKey, std::to_string(version), false });
+      { store::kSnapshotKey, std::to_string(version), false });
     if (version > kChangesKept) {
       for (std::uint64_t n = 0; n < kSnapshotEvery; ++n) {
         transaction.writes.push_back(
-          { platform::ChangeKey(version - kChangesKept - n), "", true });
+          { store::ChangeKey(version - kChangesKept - n), "", true });
       }
     }
     mPlatform.Commit(std::move(transaction),
-                     [](bool, const PlatformReason&) {});
+                     [](bool, const StoreReason&) {});
   };
   mPlatform.PutObject(
-    platform::SnapshotObject(version), EncodeSnapshot(*snapshot), onPut);
+    store::SnapshotObject(version), EncodeSnapshot(*snapshot), onPut);
 }
 
 void
--- a/src/operators/OperatorApi.cpp
+++ b/src/operators/OperatorApi.cpp
@@ -1,6 +1,6 @@
 #include "knapweedpaddle/operators/OperatorApi.h"
 
-#include "knapweedpaddle/platform/CatalogueRows.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -109,12 +109,12 @@
 OperatorApi::OwnerOf(const CallRequest& aRequest) const
 {
   static const std::string kScheme = "Bearer ";
-  const auto header = std::ranges::find(
-    aRequest.headers, "authorization", &callers::HttpHeader::name);
-  if (header == aRequest.headers.end() || !header->value.starts_with(kScheme)) {
+  const std::string* header =
+    http::FindHeader(aRequest.headers, "authorization");
+  if (!header || !header->starts_with(kScheme)) {
     return std::nullopt;
   }
-  const std::string token = header->value.substr(kScheme.size());
+  const std::string token = header->substr(kScheme.size());
   const auto it =
     std::ranges::find(mTokens, token, &settings::OperatorToken::token);
   if (it == mTokens.end()) {
@@ -186,11 +186,11 @@
   const std::uint64_t first =
     version > kHistoryLimit ? version - kHistoryLimit + 1 : 1;
   mServices.platform.ReadRange(
-    platform::kChangePrefix,
-    platform::ChangeKey(first),
+    store::kChangePrefix,
+    store::ChangeKey(first),
     kHistoryLimit,
-    [aRespond](const std::optional<std::vector<platform::Row>>& aRows,
-               const platform::PlatformReason& aReason) {
+    [aRespond](const std::optional<std::vector<store::Row>>& aRows,
+               const store::StoreReason& aReason) {
       if (!aRows) {
         aRespond(ErrorAnswer(kUnavailable, aReason.message));
         return;
--- a/src/routing/Picker.cpp
+++ b/src/routing/Picker.cpp
@@ -1,9 +1,21 @@
 #include "knapweedpaddle/routing/Picker.h"
 
+#include "knapweedpaddle/routing/VersionSelector.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace knapweedpaddle::routing {
 
+namespace {
+
+constexpr double kTieNoise = 0.05; ///< spreads calls over equal candidates
+constexpr double kCrowdingWeight = 0.5; ///< slowdown of a full server
+constexpr double kFailureWeight = 4;    ///< cost of a failure, in service times
+constexpr double kPercent = 100;
+
+} // namespace
+
 Picker::Picker(PickerOptions aOptions, std::uint64_t aSeed)
   : mOptions(aOptions)
   , mRandom(aSeed)
@@ -17,24 +29,28 @@
   if (it == aView.targets.end()) {
     return nullptr;
   }
+  const VersionSelector selector = VersionSelector::Parse(aQuery.version);
   Candidates all;
   for (const auto& target : it->second) {
-    if (target.version == aQuery.version &&
+    if (selector.Matches(target.version) &&
         std::ranges::find(aQuery.excluding, target.node) ==
           aQuery.excluding.end()) {
       all.push_back(&target);
     }
   }
-  const Candidates usable = WithoutEjected(all, aNow);
-  Candidates local;
-  std::ranges::copy_if(
-    usable, std::back_inserter(local), [&aQuery](const Target* aTarget) {
-      return aTarget->zone == aQuery.zone;
-    });
-  if (!local.empty() && !IsZoneBusy(local, aNow)) {
-    return BetterOfTwo(local, aNow);
+  Candidates usable = WithoutEjected(all, aNow);
+  Sample(usable, aQuery.zone);
+  const Target* best = nullptr;
+  double bestCost = 0;
+  std::uniform_real_distribution<double> noise(1, 1 + kTieNoise);
+  for (const Target* target : usable) {
+    const double cost = Cost(*target, aQuery.zone, aNow) * noise(mRandom);
+    if (!best || cost < bestCost) {
+      best = target;
+      bestCost = cost;
+    }
   }
-  return BetterOfTwo(usable, aNow);
+  return best;
 }
 
 void
@@ -68,11 +84,12 @@
 
 void
 Picker::ReportLoad(nodes::NodeId aNode,
-                   std::uint32_t aBusySlots,
+                   const backends::ServerLoad& aLoad,
                    Timestamp aNow)
 {
   State& state = mStates[static_cast<std::uint64_t>(aNode)];
-  state.reportedBusy = aBusySlots;
+  state.load = aLoad;
+  state.outstandingAtReport = state.outstanding;
   state.reportedAt = aNow;
 }
 
@@ -84,18 +101,39 @@
 }
 
 double
-Picker::Utilisation(const Target& aTarget, Timestamp aNow) const
+Picker::OthersCalls(const State& aState, Timestamp aNow) const
+{
+  const double reported = aState.load.busy + aState.load.queued;
+  const double others =
+    std::max(0.0, reported - static_cast<double>(aState.outstandingAtReport));
+  const std::chrono::duration<double, std::milli> age =
+    aNow - aState.reportedAt;
+  return others *
+         std::exp2(-age.count() /
+                   static_cast<double>(mOptions.loadHalfLife.count()));
+}
+
+double
+Picker::Cost(const Target& aTarget,
+             const std::string& aZone,
+             Timestamp aNow) const
 {
+  static const State kUnknown;
   const auto it = mStates.find(static_cast<std::uint64_t>(aTarget.node));
-  if (it == mStates.end()) {
-    return 0;
-  }
-  const State& state = it->second;
-  std::uint32_t busy = state.outstanding;
-  if (aNow - state.reportedAt < mOptions.loadFresh) {
-    busy = std::max(busy, state.reportedBusy);
-  }
-  return static_cast<double>(busy) / std::max(aTarget.slots, 1U);
+  const State& state = it == mStates.end() ? kUnknown : it->second;
+  const double slots = std::max(aTarget.slots, 1U);
+  const double calls = state.outstanding + OthersCalls(state, aNow);
+  const double service =
+    state.load.serviceMs > 0
+      ? state.load.serviceMs
+      : static_cast<double>(mOptions.unknownService.count());
+  const double crowding = 1 + kCrowdingWeight * std::min(1.0, calls / slots);
+  const double wait = service * std::max(0.0, calls + 1 - slots) / slots;
+  const double failures =
+    1 + kFailureWeight * state.load.failedPercent / kPercent;
+  const double away =
+    aTarget.zone == aZone ? 0 : service * mOptions.zonePenalty;
+  return (service * crowding + wait) * failures + away;
 }
 
 bool
@@ -118,26 +156,26 @@
            : usable;
 }
 
-bool
-Picker::IsZoneBusy(const Candidates& aLocal, Timestamp aNow) const
-{
-  double busy = 0;
-  for (const Target* it : aLocal) {
-    busy += Utilisation(*it, aNow);
-  }
-  return busy / static_cast<double>(aLocal.size()) > mOptions.spillUtilisation;
-}
-
-const Target*
-Picker::BetterOfTwo(const Candidates& aCandidates, Timestamp aNow)
+void
+Picker::Sample(Candidates& aCandidates, const std::string& aZone)
 {
-  if (aCandidates.empty()) {
-    return nullptr;
+  if (aCandidates.size() <= mOptions.sampled) {
+    return;
   }
-  const Target* first = aCandidates[mRandom() % aCandidates.size()];
-  const Target* second = aCandidates[mRandom() % aCandidates.size()];
-  return Utilisation(*second, aNow) < Utilisation(*first, aNow) ? second
-                                                                : first;
+  std::ranges::shuffle(aCandidates, mRandom);
+  // Half of the sample from the own zone, if it has so many.
+  std::ranges::stable_partition(aCandidates, [&aZone](const Target* aTarget) {
+    return aTarget->zone == aZone;
+  });
+  const auto local = static_cast<std::size_t>(
+    std::ranges::count_if(aCandidates, [&aZone](const Target* aTarget) {
+      return aTarget->zone == aZone;
+    }));
+  const std::size_t kept = std::min(local, mOptions.sampled / 2);
+  const auto first = aCandidates.begin() + static_cast<std::ptrdiff_t>(kept);
+  std::ranges::rotate(
+    first, aCandidates.begin() + static_cast<std::ptrdiff_t>(local), aCandidates.end());
+  aCandidates.resize(mOptions.sampled);
 }
 
 } // namespace knapweedpaddle::routing
--- a/src/routing/RetryPolicy.cpp
+++ b/src/routing/RetryPolicy.cpp
@@ -4,22 +4,27 @@
 
 namespace {
 
-constexpr double kRetriesPerCall = 0.1;
-constexpr double kRetryBurst = 20;
-constexpr std::uint32_t kMaxTries = 3;
 constexpr Milliseconds kLeastTimeLeft{ 2 };
 
 } // namespace
 
-RetryPolicy::RetryPolicy()
-  : mBudget(0, kRetryBurst)
+RetryPolicy::RetryPolicy(RetryOptions aOptions)
+  : mOptions(aOptions)
+  , mBudget(0, aOptions.burst)
 {
 }
 
+void
+RetryPolicy::SetOptions(RetryOptions aOptions)
+{
+  mOptions = aOptions;
+  mBudget.SetBurst(aOptions.burst);
+}
+
 void
 RetryPolicy::CountCall()
 {
-  mBudget.Add(kRetriesPerCall);
+  mBudget.Add(mOptions.perCall);
 }
 
 std::optional<RetryRefusal>
@@ -32,10 +37,10 @@
   if (aNow + kLeastTimeLeft >= aTry.deadline) {
     return RetryRefusal::kNoTimeLeft;
   }
-  if (aTry.tries >= kMaxTries) {
+  if (aTry.tries >= aTry.maxTries) {
     return RetryRefusal::kTooManyTries;
   }
-  if (!mBudget.Take(aNow)) {
+  if (aTry.arrived && !mBudget.Take(aNow)) {
     return RetryRefusal::kBudgetSpent;
   }
   return std::nullopt;
--- a/src/routing/RoutingView.cpp
+++ b/src/routing/RoutingView.cpp
@@ -9,21 +9,34 @@
 {
   for (const auto& [id, entry] : config->entries) {
     if (const auto* route = std::get_if<config::RouteEntry>(&entry)) {
-      routes.push_back(route);
+      routes[route->host].push_back(route);
     }
   }
-  std::ranges::sort(routes, std::ranges::greater{}, [](const auto* aRoute) {
-    return aRoute->pathPrefix.size();
-  });
+  for (auto& [host, list] : routes) {
+    std::ranges::sort(list, std::ranges::greater{}, [](const auto* aRoute) {
+      return aRoute->pathPrefix.size();
+    });
+  }
 }
 
 const config::RouteEntry*
-RoutingView::FindRoute(const std::string& aPath) const
+RoutingView::FindRoute(const std::string& aHost,
+                       const std::string& aPath) const
 {
-  const auto it = std::ranges::find_if(routes, [&aPath](const auto* aRoute) {
-    return aPath.starts_with(aRoute->pathPrefix);
-  });
-  return it == routes.end() ? nullptr : *it;
+  for (const std::string& host : { aHost, std::string() }) {
+    const auto list = routes.find(host);
+    if (list == routes.end()) {
+      continue;
+    }
+    const auto it =
+      std::ranges::find_if(list->second, [&aPath](const auto* aRoute) {
+        return aPath.starts_with(aRoute->pathPrefix);
+      });
+    if (it != list->second.end()) {
+      return *it;
+    }
+  }
+  return nullptr;
 }
 
 std::vector<std::string>
@@ -42,9 +55,11 @@
   const double share =
     aClass == config::CallClass::kAtMostOnce ? split.onceShare : split.share;
   if (aDraw < share) {
-    return { split.toVersion, split.fromVersion };
+    return split.exclusive && share >= 1
+             ? std::vector{ split.toVersion }
+             : std::vector{ split.toVersion, split.fromVersion };
   }
-  if (share > 0) {
+  if (share > 0 && !split.exclusive) {
     // The old version's servers may already be gone.
     return { split.fromVersion, split.toVersion };
   }
--- a/src/routing/TokenBucket.cpp
+++ b/src/routing/TokenBucket.cpp
@@ -25,6 +25,13 @@
   return true;
 }
 
+void
+TokenBucket::SetBurst(double aBurst)
+{
+  mBurst = aBurst;
+  mTokens = std::min(mTokens, mBurst);
+}
+
 void
 TokenBucket::Add(double aTokens)
 {
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -183,7 +183,6 @@
     static_cast<std::uint16_t>(absl::GetFlag(FLAGS_link_port));
   settings.callerPort =
     static_cast<std::uint16_t>(absl::GetFlag(FLAGS_caller_port));
-  settings.callerThreads = absl::GetFlag(FLAGS_caller_threads);
   settings.platformTimeout =
     Milliseconds(absl::GetFlag(FLAGS_platform_timeout_ms));
   settings.drainTimeout = Milliseconds(absl::GetFlag(FLAGS_drain_timeout_ms));
--- a/src/settings/SettingList.h
+++ b/src/settings/SettingList.h
@@ -13,7 +13,6 @@
   TEXT(platform, "127.0.0.1:7000", "IP:port", "IP:port", "the platform's table and object store")  \
   TEXT(seeds, "", "IP:port list", "comma separated", "link addresses of peers tried besides the table")   \
   TEXT(operators, "", "owner=token list", "comma separated", "who may write whose entries")        \
-  NUMBER(caller_threads, std::uint32_t, 1, 1, 64, "threads", "threads that read callers' requests") \
   NUMBER(platform_timeout_ms, std::uint32_t, 1000, 10, 60000, "ms", "longest wait for the platform") \
   NUMBER(drain_timeout_ms, std::uint32_t, 10000, 100, 600000, "ms", "longest graceful shutdown")   \
   NUMBER(check_slots, std::uint32_t, 2, 0, 64, "slots", "slots kept for calls of class check")     \
--- a/src/platform/CatalogueReader.cpp
+++ b/src/store/CatalogueReader.cpp
@@ -1,9 +1,9 @@
-#include "knapweedpaddle/platform/CatalogueReader.h"
+#include "knapweedpaddle/store/CatalogueReader.h"
 
 #include "knapweedpaddle/config/EntryCodec.h"
-#include "knapweedpaddle/platform/CatalogueRows.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 
-namespace knapweedpaddle::platform {
+namespace knapweedpaddle::store {
 
 namespace {
 
@@ -12,7 +12,7 @@
 
 } // namespace
 
-CatalogueReader::CatalogueReader(PlatformClient& aPlatform,
+CatalogueReader::CatalogueReader(StoreClient& aPlatform,
                                  config::ConfigStore& aStore,
                                  std::function<void()> aChanged)
   : mPlatform(aPlatform)
@@ -27,7 +27,7 @@
   mPlatform.Read(
     { kHeadKey },
     [callback = std::move(aCallback)](
-      const std::optional<std::vector<Row>>& aRows, const PlatformReason&) {
+      const std::optional<std::vector<Row>>& aRows, const StoreReason&) {
       if (!aRows || aRows->empty()) {
         callback(std::nullopt);
         return;
@@ -58,7 +58,7 @@
     ChangeKey(mStore.Version() + 1),
     kMaxChangesBehind,
     [this, aVersion, callback = std::move(aCallback)](
-      const std::optional<std::vector<Row>>& aRows, const PlatformReason&) {
+      const std::optional<std::vector<Row>>& aRows, const StoreReason&) {
       if (!aRows) {
         callback(false);
         return;
@@ -87,7 +87,7 @@
 {
   const auto onBody =
     [this, aVersion, aCallback](const std::optional<std::string>& aBody,
-                                const PlatformReason&) {
+                                const StoreReason&) {
       if (aBody && Replace(*aBody)) {
         mChanged();
       }
@@ -96,7 +96,7 @@
   mPlatform.Read(
     { kSnapshotKey },
     [this, aVersion, aCallback, onBody](
-      const std::optional<std::vector<Row>>& aRows, const PlatformReason&) {
+      const std::optional<std::vector<Row>>& aRows, const StoreReason&) {
       if (!aRows || aRows->empty()) {
         aCallback(false);
         return;
@@ -118,4 +118,4 @@
   return snapshot && mStore.Replace(*snapshot, reason);
 }
 
-} // namespace knapweedpaddle::platform
+} // namespace knapweedpaddle::store
--- a/src/platform/CatalogueRows.cpp
+++ b/src/store/CatalogueRows.cpp
@@ -1,4 +1,4 @@
-#include "knapweedpaddle/platform/CatalogueRows.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 
 #include "knapweedpaddle/common/Text.h"
 
@@ -7,7 +7,7 @@
 #include <cstdio>
 #include <xxhash.h>
 
-namespace knapweedpaddle::platform {
+namespace knapweedpaddle::store {
 
 std::string
 ChangeKey(std::uint64_t aVersion)
@@ -56,4 +56,4 @@
   return version;
 }
 
-} // namespace knapweedpaddle::platform
+} // namespace knapweedpaddle::store
--- a/src/platform/ClaimBatcher.cpp
+++ b/src/store/ClaimBatcher.cpp
@@ -1,10 +1,10 @@
-#include "knapweedpaddle/platform/ClaimBatcher.h"
+#include "knapweedpaddle/store/ClaimBatcher.h"
 
-#include "knapweedpaddle/platform/CatalogueRows.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 
 #include <algorithm>
 
-namespace knapweedpaddle::platform {
+namespace knapweedpaddle::store {
 
 using backends::ClaimOutcome;
 
@@ -16,7 +16,7 @@
 
 } // namespace
 
-ClaimBatcher::ClaimBatcher(PlatformClient& aPlatform,
+ClaimBatcher::ClaimBatcher(StoreClient& aPlatform,
                            std::uint32_t aWritesPerSecond)
   : mPlatform(aPlatform)
   , mInterval(kMillisecondsPerSecond /
@@ -71,7 +71,7 @@
   }
   mPlatform.Commit(std::move(transaction),
                    [this, batch = std::move(aBatch)](
-                     bool aDone, const PlatformReason& aReason) mutable {
+                     bool aDone, const StoreReason& aReason) mutable {
                      if (aDone) {
                        for (auto& it : batch) {
                          Answer(it, ClaimOutcome::kGranted);
@@ -80,10 +80,10 @@
                        return;
                      }
                      switch (aReason.code) {
-                       case PlatformError::kConflict:
+                       case StoreError::kConflict:
                          OnConflict(std::move(batch), aReason.conflictingKeys);
                          return;
-                       case PlatformError::kOutcomeUnknown:
+                       case StoreError::kOutcomeUnknown:
                          Settle(std::move(batch));
                          return;
                        default:
@@ -126,7 +126,7 @@
     keys,
     [this,
      batch = std::move(aBatch)](const std::optional<std::vector<Row>>& aRows,
-                                const PlatformReason&) mutable {
+                                const StoreReason&) mutable {
       for (auto& it : batch) {
         // An absent row may still be written late, so only a row
         // that holds this call's id grants the claim.
@@ -151,4 +151,4 @@
   aPending.callback(aOutcome);
 }
 
-} // namespace knapweedpaddle::platform
+} // namespace knapweedpaddle::store
--- a/tests/fakes/FakeMesh.cpp
+++ b/tests/fakes/FakeMesh.cpp
@@ -1,7 +1,7 @@
 #include "FakeMesh.h"
 
 #include "knapweedpaddle/config/EntryCodec.h"
-#include "knapweedpaddle/platform/CatalogueRows.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 
 #include <numeric>
 
@@ -430,7 +430,7 @@
       violations.push_back("P2: " + reason.message);
     }
     const auto row =
-      shared.table.Read({ platform::ChangeKey(version) }).front();
+      shared.table.Read({ store::ChangeKey(version) }).front();
     const auto change = config::DecodeChange(row.value, reason);
     if (version > 0 && change && change->digest != aView->config->Digest()) {
       violations.push_back("P3: version " + std::to_string(version) +
--- a/tests/fakes/FakePlatform.h
+++ b/tests/fakes/FakePlatform.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "FakeClock.h"
-#include "knapweedpaddle/platform/PlatformClient.h"
+#include "knapweedpaddle/store/StoreClient.h"
 #include "standins/Table.h"
 
 #include <memory>
@@ -41,7 +41,7 @@
 };
 
 /** One node's client of the shared platform. */
-class FakePlatform : public platform::PlatformClient
+class FakePlatform : public store::StoreClient
 {
 public:
   /** Chooses the fault of each request. */
@@ -61,9 +61,9 @@
 
   void Read(std::vector<std::string> aKeys, RowsCallback aCallback) override
   {
-    Request<std::vector<platform::Row>>(
+    Request<std::vector<store::Row>>(
       false,
-      [this, keys = std::move(aKeys)](platform::PlatformReason&) {
+      [this, keys = std::move(aKeys)](store::StoreReason&) {
         ++mShared.reads;
         return std::optional(mShared.table.Read(keys));
       },
@@ -75,32 +75,68 @@
                  std::size_t aLimit,
                  RowsCallback aCallback) override
   {
-    Request<std::vector<platform::Row>>(
+    Request<std::vector<store::Row>>(
       false,
-      [this, aPrefix, aFirst, aLimit](platform::PlatformReason&) {
+      [this, aPrefix, aFirst, aLimit](store::StoreReason&) {
         ++mShared.reads;
         return std::optional(mShared.table.ReadRange(aPrefix, aFirst, aLimit));
       },
       std::move(aCallback));
   }
 
-  void Commit(platform::Transaction aTransaction,
+  void ReadTable(std::string aTable, NewsCallback aCallback) override
+  {
+    Request<store::TableNews>(
+      false,
+      [this, aTable](store::StoreReason&) {
+        ++mShared.reads;
+        return std::optional(mShared.table.ReadTable(aTable));
+      },
+      std::move(aCallback));
+  }
+
+  void Follow(std::string aTable,
+              std::uint64_t aAfter,
+              Milliseconds aWait,
+              NewsCallback aCallback) override
+  {
+    constexpr Milliseconds kStep{ 20 };
+    if (aWait > Milliseconds(0) &&
+        mShared.table.ChangesAfter(aTable, aAfter).rows.empty()) {
+      mClock.At(mClock.Now() + kStep,
+                [this, dead = mDead, aTable, aAfter, aWait, aCallback] {
+                  if (!*dead) {
+                    Follow(aTable, aAfter, aWait - kStep, aCallback);
+                  }
+                });
+      return;
+    }
+    Request<store::TableNews>(
+      false,
+      [this, aTable, aAfter](store::StoreReason&) {
+        ++mShared.reads;
+        return std::optional(mShared.table.ChangesAfter(aTable, aAfter));
+      },
+      std::move(aCallback));
+  }
+
+  void Commit(store::Transaction aTransaction,
               DoneCallback aCallback) override
   {
     Request<bool>(
       true,
       [this, transaction = std::move(aTransaction)](
-        platform::PlatformReason& aReason) {
+        store::StoreReason& aReason) {
         ++mShared.writes;
         aReason.conflictingKeys = mShared.table.Commit(transaction);
         if (aReason.conflictingKeys.empty()) {
           return std::optional(true);
         }
-        aReason.code = platform::PlatformError::kConflict;
+        aReason.code = store::StoreError::kConflict;
         return std::optional<bool>();
       },
       [callback = std::move(aCallback)](
-        std::optional<bool> aDone, const platform::PlatformReason& aReason) {
+        std::optional<bool> aDone, const store::StoreReason& aReason) {
         callback(aDone.has_value(), aReason);
       });
   }
@@ -111,13 +147,13 @@
   {
     Request<bool>(
       true,
-      [this, aName, aBody](platform::PlatformReason&) {
+      [this, aName, aBody](store::StoreReason&) {
         ++mShared.writes;
         mShared.table.PutObject(aName, aBody);
         return std::optional(true);
       },
       [callback = std::move(aCallback)](
-        std::optional<bool> aDone, const platform::PlatformReason& aReason) {
+        std::optional<bool> aDone, const store::StoreReason& aReason) {
         callback(aDone.has_value(), aReason);
       });
   }
@@ -126,10 +162,10 @@
   {
     Request<std::string>(
       false,
-      [this, aName](platform::PlatformReason& aReason) {
+      [this, aName](store::StoreReason& aReason) {
         ++mShared.reads;
         const std::string* body = mShared.table.GetObject(aName);
-        aReason.code = platform::PlatformError::kNotFound;
+        aReason.code = store::StoreError::kNotFound;
         return body ? std::optional(*body) : std::nullopt;
       },
       std::move(aCallback));
@@ -152,21 +188,21 @@
     const auto answer =
       [this, dead = mDead, aCallback](Timestamp aWhen,
                                       std::optional<T> aResult,
-                                      platform::PlatformReason aReason) {
+                                      store::StoreReason aReason) {
         mClock.At(aWhen, [dead, aCallback, aResult, aReason] {
           if (!*dead) {
             aCallback(aResult, aReason);
           }
         });
       };
-    const auto fail = [&](Milliseconds aDelay, platform::PlatformError aCode) {
-      platform::PlatformReason reason;
+    const auto fail = [&](Milliseconds aDelay, store::StoreError aCode) {
+      store::StoreReason reason;
       reason.Set(aCode, "fake platform");
       answer(now + aDelay, std::nullopt, reason);
     };
     const auto workAt = [&](Milliseconds aDelay, bool aAnswers) {
       mClock.At(now + aDelay, [this, aWork, answer, aAnswers] {
-        platform::PlatformReason reason;
+        store::StoreReason reason;
         auto result = aWork(reason);
         if (aAnswers) {
           answer(mClock.Now() + Latency(), std::move(result), reason);
@@ -181,21 +217,21 @@
         workAt(kTimeout / 2, true);
         return;
       case PlatformFault::kDown:
-        fail(Latency(), platform::PlatformError::kRefused);
+        fail(Latency(), store::StoreError::kRefused);
         return;
       case PlatformFault::kUnreached:
-        fail(Latency(), platform::PlatformError::kNotSent);
+        fail(Latency(), store::StoreError::kNotSent);
         return;
       case PlatformFault::kLostRequest:
-        fail(kTimeout, platform::PlatformError::kOutcomeUnknown);
+        fail(kTimeout, store::StoreError::kOutcomeUnknown);
         return;
       case PlatformFault::kLostAnswer:
         workAt(Latency(), false);
-        fail(kTimeout, platform::PlatformError::kOutcomeUnknown);
+        fail(kTimeout, store::StoreError::kOutcomeUnknown);
         return;
       case PlatformFault::kLateWrite:
         workAt(kTimeout + kLateBy, false);
-        fail(kTimeout, platform::PlatformError::kOutcomeUnknown);
+        fail(kTimeout, store::StoreError::kOutcomeUnknown);
         return;
     }
   }
--- a/tests/nodes/LinkTest.cpp
+++ b/tests/nodes/LinkTest.cpp
@@ -171,7 +171,7 @@
       result.status = 200;
       result.callId = HeaderValue(aRequest.headers, "call-id");
       result.body = aRequest.body;
-      aResponder->Respond(EncodeCallResult(result, 1));
+      aResponder->Respond(EncodeCallResult(result, backends::ServerLoad{}));
     });
   const auto port = server.Listen("127.0.0.1", 0);
   REQUIRE(port.has_value());
@@ -234,8 +234,9 @@
   result.status = 200;
   result.callId = "call-1";
   result.body = "ring";
-  const LinkResponse response = EncodeCallResult(result, 3);
-  CHECK(DecodeCallResult(response, "call-1")->busySlots == 3);
+  const backends::ServerLoad load{ 3, 2, 12, 40, 5 };
+  const LinkResponse response = EncodeCallResult(result, load);
+  CHECK(DecodeCallResult(response, "call-1")->load == load);
   CHECK_FALSE(DecodeCallResult(response, "call-2").has_value());
   LinkResponse cut = response;
   cut.body = "rin";
--- a/tests/operators/AcceptorTest.cpp
+++ b/tests/operators/AcceptorTest.cpp
@@ -3,7 +3,7 @@
 #include "knapweedpaddle/operators/Acceptor.h"
 #include "fakes/FakePlatform.h"
 #include "knapweedpaddle/config/EntryCodec.h"
-#include "knapweedpaddle/platform/CatalogueRows.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 #include "proof/ProofLog.h"
 
 #include <catch2/catch.hpp>
@@ -32,7 +32,7 @@
 
   FakePlatform platform;
   config::ConfigStore store;
-  platform::CatalogueReader reader;
+  store::CatalogueReader reader;
   operators::Acceptor acceptor;
 };
 
@@ -51,7 +51,7 @@
   std::vector<config::Change> changes;
   config::ConfigReason reason;
   for (const auto& it :
-       aShared.table.ReadRange(platform::kChangePrefix, "", 10'000)) {
+       aShared.table.ReadRange(store::kChangePrefix, "", 10'000)) {
     changes.push_back(*config::DecodeChange(it.value, reason));
   }
   return changes;
--- a/tests/routing/RoutingTest.cpp
+++ b/tests/routing/RoutingTest.cpp
@@ -27,6 +27,16 @@
   return view;
 }
 
+backends::ServerLoad
+FullLoad()
+{
+  backends::ServerLoad load;
+  load.busy = 10;
+  load.slots = 10;
+  load.serviceMs = 50;
+  return load;
+}
+
 std::size_t
 LocalPicks(Picker& aPicker, const RoutingView& aView, std::size_t aTries)
 {
@@ -45,8 +55,8 @@
   Picker picker(PickerOptions{}, 1);
   const RoutingView view = ViewOf(2, 4);
   CHECK(LocalPicks(picker, view, 100) == 100);
-  picker.ReportLoad(nodes::NodeId{ 1 }, 10, kNow);
-  picker.ReportLoad(nodes::NodeId{ 2 }, 10, kNow);
+  picker.ReportLoad(nodes::NodeId{ 1 }, FullLoad(), kNow);
+  picker.ReportLoad(nodes::NodeId{ 2 }, FullLoad(), kNow);
   CHECK(LocalPicks(picker, view, 100) < 30);
 }
 
@@ -130,7 +140,7 @@
     snapshot->entries[{ config::EntryKind::kRoute, prefix }] = route;
   }
   const RoutingView view(snapshot);
-  CHECK(view.FindRoute("/a/long/x")->pathPrefix == "/a/long/");
-  CHECK(view.FindRoute("/a/x")->pathPrefix == "/a/");
-  CHECK(view.FindRoute("/c/x") == nullptr);
+  CHECK(view.FindRoute("", "/a/long/x")->pathPrefix == "/a/long/");
+  CHECK(view.FindRoute("", "/a/x")->pathPrefix == "/a/");
+  CHECK(view.FindRoute("", "/c/x") == nullptr);
 }
--- a/tests/standins/PlatformStandin.cpp
+++ b/tests/standins/PlatformStandin.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
+#include <absl/strings/escaping.h>
 #include <atomic>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -55,35 +56,88 @@
   std::string body;
 };
 
+constexpr const char* kDefaultTable = "catalogue";
+
+/** Joins a table and a key as the product's store client names rows. */
+std::string
+KeyOf(const std::string& aTable, const std::string& aKey)
+{
+  return aTable == kDefaultTable ? aKey : aTable + "/" + aKey;
+}
+
 Json
-RowsJson(const std::vector<platform::Row>& aRows)
+RowJson(const store::Row& aRow)
+{
+  const auto slash = aRow.key.find('/');
+  const bool plain = slash == std::string::npos;
+  Json row{ { "table", plain ? kDefaultTable : aRow.key.substr(0, slash) },
+            { "part", "" },
+            { "key", plain ? aRow.key : aRow.key.substr(slash + 1) },
+            { "ver", aRow.revision } };
+  if (aRow.revision == 0) {
+    row["tombstone"] = true;
+  } else {
+    row["value"] = absl::Base64Escape(aRow.value);
+  }
+  return row;
+}
+
+Json
+RowsJson(const std::vector<store::Row>& aRows, std::uint64_t aRevision)
 {
   Json rows = Json::array();
   for (const auto& it : aRows) {
-    rows.push_back({ { "key", it.key },
-                     { "value", it.value },
-                     { "revision", it.revision } });
+    rows.push_back(RowJson(it));
   }
-  return Json{ { "rows", rows } };
+  return Json{ { "rows", rows },
+               { "truncated", false },
+               { "ver", aRevision },
+               { "now-s", 0.0 } };
 }
 
-platform::Transaction
+store::Transaction
 TransactionFrom(const Json& aJson)
 {
-  platform::Transaction transaction;
-  for (const auto& it : aJson.at("conditions")) {
-    transaction.conditions.push_back({ it.at("key"), it.at("revision") });
+  store::Transaction transaction;
+  for (const auto& it : aJson.at("precondition")) {
+    transaction.conditions.push_back(
+      { KeyOf(it.at("table"), it.at("key")), it.at("ver") });
+  }
+  for (const auto& it : aJson.at("put")) {
+    std::string value;
+    absl::Base64Unescape(it.at("value").get<std::string>(), &value);
+    transaction.writes.push_back(
+      { KeyOf(it.at("table"), it.at("key")), value, false });
   }
-  for (const auto& it : aJson.at("writes")) {
-    const bool remove = it.value("remove", false);
+  for (const auto& it : aJson.at("remove")) {
     transaction.writes.push_back(
-      { it.at("key"),
-        remove ? std::string() : it.at("value").get<std::string>(),
-        remove });
+      { KeyOf(it.at("table"), it.at("key")), "", true });
   }
   return transaction;
 }
 
+/** Undoes percent encoding. */
+std::string
+Unescaped(const std::string& aText)
+{
+  std::string out;
+  for (std::size_t n = 0; n < aText.size(); ++n) {
+    if (aText[n] == '%' && n + 2 < aText.size()) {
+      out += absl::HexStringToBytes(aText.substr(n + 1, 2));
+      n += 2;
+    } else {
+      out += aText[n];
+    }
+  }
+  return out;
+}
+
+std::string
+Parameter(const Request& aRequest, const std::string& aName)
+{
+  return Unescaped(aRequest.query().get(aName).value_or(""));
+}
+
 class PlatformHandler : public Pistache::Http::Handler
 {
 public:
@@ -135,28 +189,27 @@
   Result Work(const std::string& aPath, const Request& aRequest)
   {
     const std::scoped_lock lock(mState->mutex);
+    static const std::string kPut = "/-/blob-put/";
+    static const std::string kGet = "/-/blob-get/";
     try {
-      static const std::string kObjects = "/v1/objects/";
-      if (aPath.starts_with(kObjects)) {
-        return WorkOnObject(aPath.substr(kObjects.size()), aRequest);
+      if (aPath.starts_with(kPut)) {
+        ++mState->writes;
+        mState->table.PutObject(aPath.substr(kPut.size()), aRequest.body());
+        return { Code::Ok, "" };
       }
-      const Json json = Json::parse(aRequest.body());
-      if (aPath == "/v1/table/read") {
+      if (aPath.starts_with(kGet)) {
         ++mState->reads;
-        return { Code::Ok,
-                 RowsJson(mState->table.Read(json.at("keys"))).dump() };
+        const std::string* body =
+          mState->table.GetObject(aPath.substr(kGet.size()));
+        return body ? Result{ Code::Ok, *body } : Result{ Code::Not_Found, "" };
       }
-      if (aPath == "/v1/table/range") {
+      if (aPath == "/-/rows-get") {
         ++mState->reads;
-        const auto rows = mState->table.ReadRange(
-          json.at("prefix"), json.at("first"), json.at("limit"));
-        return { Code::Ok, RowsJson(rows).dump() };
+        return { Code::Ok, ReadRows(aRequest).dump() };
       }
-      if (aPath == "/v1/table/commit") {
+      if (aPath == "/-/rows-tx") {
         ++mState->writes;
-        const auto failed = mState->table.Commit(TransactionFrom(json));
-        return { failed.empty() ? Code::Ok : Code::Conflict,
-                 Json{ { "failed", failed } }.dump() };
+        return Commit(Json::parse(aRequest.body()));
       }
       return { Code::Not_Found, "" };
     } catch (const Json::exception& e) {
@@ -164,16 +217,39 @@
     }
   }
 
-  Result WorkOnObject(const std::string& aName, const Request& aRequest)
+  Json ReadRows(const Request& aRequest) const
+  {
+    constexpr std::size_t kMostRows = 500;
+    const std::string table = Parameter(aRequest, "table");
+    const std::string from = Parameter(aRequest, "from");
+    const std::string to = Parameter(aRequest, "to");
+    const std::string limit = Parameter(aRequest, "limit");
+    const std::size_t most =
+      limit.empty() ? kMostRows : std::stoul(limit);
+    const std::string prefix = table == kDefaultTable ? "" : table + "/";
+    std::vector<store::Row> rows;
+    for (auto& it : mState->table.ReadRange(prefix, prefix + from, kMostRows)) {
+      const bool inTable =
+        !prefix.empty() || it.key.find('/') == std::string::npos;
+      if (inTable && rows.size() < most &&
+          (to.empty() || it.key < prefix + to)) {
+        rows.push_back(std::move(it));
+      }
+    }
+    return RowsJson(rows, mState->table.Revision());
+  }
+
+  Result Commit(const Json& aJson)
   {
-    if (aRequest.method() == Pistache::Http::Method::Put) {
-      ++mState->writes;
-      mState->table.PutObject(aName, aRequest.body());
-      return { Code::Ok, "" };
+    const auto failed = mState->table.Commit(TransactionFrom(aJson));
+    if (failed.empty()) {
+      return { Code::Ok,
+               Json{ { "ver", mState->table.Revision() }, { "now-s", 0.0 } }
+                 .dump() };
     }
-    ++mState->reads;
-    const std::string* body = mState->table.GetObject(aName);
-    return body ? Result{ Code::Ok, *body } : Result{ Code::Not_Found, "" };
+    return { Code::Precondition_Failed,
+             RowsJson(mState->table.Read(failed), mState->table.Revision())
+               .dump() };
   }
 
   std::shared_ptr<State> mState;
--- a/tests/standins/Table.cpp
+++ b/tests/standins/Table.cpp
@@ -2,7 +2,7 @@
 
 namespace knapweedpaddle::standins {
 
-using platform::Row;
+using store::Row;
 
 std::vector<Row>
 Table::Read(const std::vector<std::string>& aKeys) const
@@ -30,8 +30,33 @@
   return rows;
 }
 
+store::TableNews
+Table::ReadTable(const std::string& aTable) const
+{
+  return ChangesAfter(aTable, 0);
+}
+
+store::TableNews
+Table::ChangesAfter(const std::string& aTable, std::uint64_t aRevision) const
+{
+  store::TableNews news;
+  news.revision = mRevision;
+  const std::string prefix = aTable + "/";
+  for (const auto& [key, row] : mRows) {
+    if (key.starts_with(prefix) && row.revision > aRevision) {
+      news.rows.push_back(row);
+    }
+  }
+  for (const auto& [key, revision] : mRemoved) {
+    if (key.starts_with(prefix) && aRevision > 0 && revision > aRevision) {
+      news.rows.push_back({ key, "", 0 });
+    }
+  }
+  return news;
+}
+
 std::vector<std::string>
-Table::Commit(const platform::Transaction& aTransaction)
+Table::Commit(const store::Transaction& aTransaction)
 {
   std::vector<std::string> failed;
   for (const auto& it : aTransaction.conditions) {
@@ -44,10 +69,13 @@
     return failed;
   }
   for (const auto& it : aTransaction.writes) {
+    ++mRevision;
     if (it.remove) {
       mRows.erase(it.key);
+      mRemoved[it.key] = mRevision;
     } else {
-      mRows[it.key] = Row{ it.key, it.value, ++mRevision };
+      mRows[it.key] = Row{ it.key, it.value, mRevision };
+      mRemoved.erase(it.key);
     }
   }
   return {};
--- a/tests/standins/Table.h
+++ b/tests/standins/Table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "knapweedpaddle/platform/PlatformClient.h"
+#include "knapweedpaddle/store/StoreClient.h"
 
 #include <map>
 #include <string>
@@ -12,15 +12,24 @@
 class Table
 {
 public:
-  std::vector<platform::Row> Read(const std::vector<std::string>& aKeys) const;
+  std::vector<store::Row> Read(const std::vector<std::string>& aKeys) const;
 
-  std::vector<platform::Row> ReadRange(const std::string& aPrefix,
+  std::vector<store::Row> ReadRange(const std::string& aPrefix,
                                        const std::string& aFirst,
                                        std::size_t aLimit) const;
 
+  /** Returns all rows of a table; keys begin with the table's name. */
+  store::TableNews ReadTable(const std::string& aTable) const;
+
+  /** Returns a table's rows that changed after a revision, each once. */
+  store::TableNews ChangesAfter(const std::string& aTable,
+                                std::uint64_t aRevision) const;
+
+  std::uint64_t Revision() const { return mRevision; }
+
   /** Returns the keys whose conditions failed; empty when the writes took
    * effect. */
-  std::vector<std::string> Commit(const platform::Transaction& aTransaction);
+  std::vector<std::string> Commit(const store::Transaction& aTransaction);
 
   void PutObject(const std::string& aName, const std::string& aBody)
   {
@@ -29,7 +38,8 @@
   const std::string* GetObject(const std::string& aName) const;
 
 private:
-  std::map<std::string, platform::Row> mRows;
+  std::map<std::string, store::Row> mRows;
+  std::map<std::string, std::uint64_t> mRemoved; ///< revisions, by key
   std::map<std::string, std::string> mObjects;
   std::uint64_t mRevision = 0;
 };
--- a/tests/platform/ClaimBatcherTest.cpp
+++ b/tests/store/ClaimBatcherTest.cpp
@@ -1,8 +1,8 @@
 // Callers repeat idempotency keys at several nodes while the platform fails.
 
-#include "knapweedpaddle/platform/ClaimBatcher.h"
+#include "knapweedpaddle/store/ClaimBatcher.h"
 #include "fakes/FakePlatform.h"
-#include "knapweedpaddle/platform/CatalogueRows.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 #include "proof/ProofLog.h"
 
 #include <catch2/catch.hpp>
@@ -24,7 +24,7 @@
   }
 
   FakePlatform platform;
-  platform::ClaimBatcher claims;
+  store::ClaimBatcher claims;
 };
 
 struct RaceResult
