Queue calls by target time and refuse early what would come late

Ruled out: processor time (4% of a core). A request on a link whose session had ended threw out_of_range: frames and events after the end are now ignored.

--- a/include/knapweedpaddle/backends/CallOwner.h
+++ b/include/knapweedpaddle/backends/CallOwner.h
@@ -28,6 +28,7 @@
   std::string idempotencyKey;
   Timestamp deadline;
   Milliseconds slowAfter{ 100 };
+  Timestamp targetAt{}; ///< when slowAfter has passed for the caller
   telemetry::TraceContext trace;
   std::string method;
   std::string path;
--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -14,12 +14,14 @@
 {
   kQueueFull,
   kDeadlineTooNear, ///< the wait would outlast the deadline
+  kWaitTooLong,     ///< the answer would come after its target time
   kDraining,
 };
 
-inline constexpr std::array<EnumName<SlotRefusal>, 3> kSlotRefusalNames{ {
+inline constexpr std::array<EnumName<SlotRefusal>, 4> kSlotRefusalNames{ {
   { SlotRefusal::kQueueFull, "queue_full" },
   { SlotRefusal::kDeadlineTooNear, "deadline_too_near" },
+  { SlotRefusal::kWaitTooLong, "wait_too_long" },
   { SlotRefusal::kDraining, "draining" },
 } };
 
@@ -30,13 +32,15 @@
   config::CallClass callClass = config::CallClass::kIdempotent;
   Timestamp deadline;
   std::uint32_t priority = 0; ///< 0 first
+  Milliseconds target{ 0 };   ///< in which an answer is wanted; 0: none
+  Timestamp targetAt{};       ///< when that time ends; earlier ones go first
 };
 
 /**
  * Admits calls to the backend server's slots. Some slots are kept for calls of
- * class check, which also wait before all others; the others wait by priority.
- * A call is refused at once when the wait that the recent service time suggests
- * would outlast its deadline.
+ * class check, which also wait before all others; the others wait by priority and
+ * target time. A call is refused at once when the wait that the recent service
+ * time suggests would outlast its deadline, or most of its target time.
  *
  * Thread safety: the traffic thread only.
  */
@@ -94,6 +98,9 @@
   bool HasSlotFor(config::CallClass aClass) const;
   std::uint32_t& BusyOf(config::CallClass aClass);
   Milliseconds ExpectedWait(const SlotRequest& aRequest) const;
+  Milliseconds LongestWait(const SlotRequest& aRequest) const;
+  std::deque<SlotRequest>::const_iterator PlaceOf(
+    const SlotRequest& aRequest) const;
   void RefuseQueued();
   void GrantNext(Timestamp aNow);
 
--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -35,7 +35,8 @@
   /** Reads everything anew, as after a pause of the process. */
   void Refresh();
 
-  /** Takes the configuration of a peer that is ahead. */
+  /** Takes the configuration of a peer that is ahead, unless the store sends it
+   * first. */
   void OnPeerVersion(const std::string& aAddress, std::uint64_t aVersion);
 
   /** Answers a peer that is behind. */
@@ -52,6 +53,7 @@
   void ReadAll();
   void Follow(std::uint64_t aAfter);
   void OnNews(const operators::OrderNews& aNews);
+  void Pull(const std::string& aAddress);
   void Retry(const store::StoreReason& aReason);
   void NoteStore(bool aReachable, const std::string& aWhy);
   void Apply(const std::string& aText, const std::string& aSource);
--- a/include/knapweedpaddle/routing/Picker.h
+++ b/include/knapweedpaddle/routing/Picker.h
@@ -16,7 +16,9 @@
   Milliseconds ejectionMost{ 10'000 };
   double panicShare =
     0.5; ///< with more than this share ejected, ejection is ignored
-  double zonePenalty = 0.25; ///< cost of leaving the zone, in service times
+  /** Cost of leaving the own zone, the greater of two. */
+  double zonePenalty = 0.25;       ///< in service times
+  double zonePenaltyTarget = 0.35; ///< in target times
   Milliseconds unknownService{ 50 }; ///< assumed until a node reported
   Milliseconds loadHalfLife{ 400 };  ///< by which others' calls are forgotten
   std::size_t sampled = 8;           ///< candidates compared for one call
@@ -29,6 +31,7 @@
   std::string version;                  ///< a VersionSelector
   std::string zone;                     ///< the picking node's own
   std::vector<nodes::NodeId> excluding; ///< already tried for this call
+  Milliseconds target{ 0 }; ///< in which an answer is wanted
 };
 
 /**
@@ -68,7 +71,7 @@
 
   /** Returns the expected milliseconds until a call is done at a target. */
   double Cost(const Target& aTarget,
-              const std::string& aZone,
+              const PickQuery& aQuery,
               Timestamp aNow) const;
 
 private:
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -161,7 +161,12 @@
     }
     SlotRefusal refusal{};
     const auto answer = mSlots.Request(
-      SlotRequest{ aRun, call.callClass, call.deadline, call.priority },
+      SlotRequest{ aRun,
+                   call.callClass,
+                   call.deadline,
+                   call.priority,
+                   call.slowAfter,
+                   call.targetAt },
       Now(),
       refusal);
     if (!answer) {
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr std::size_t kQueuePerSlot = 4;
+/** Waiting calls are refused so long before their deadline, for the refusal to
+ * reach the caller in time. */
+constexpr Milliseconds kExpiryLead{ 30 };
+constexpr double kServiceMargin = 1.3; ///< over the mean, kept of the target
+constexpr double kLeastWaitPart = 0.25; ///< of the target, always allowed
 constexpr double kServiceSpan = 12; ///< calls that the average remembers
 
 } // namespace
@@ -44,15 +49,20 @@
     aRefusal = SlotRefusal::kQueueFull;
     return std::nullopt;
   }
-  if (aNow + ExpectedWait(aRequest) >= aRequest.deadline) {
+  const Milliseconds wait = ExpectedWait(aRequest);
+  if (aNow + wait >= aRequest.deadline) {
     aRefusal = SlotRefusal::kDeadlineTooNear;
     return std::nullopt;
   }
-  auto& queue =
-    aRequest.callClass == config::CallClass::kCheck ? mChecks : mOthers;
-  const auto after = std::ranges::upper_bound(
-    queue, aRequest.priority, {}, &SlotRequest::priority);
-  queue.insert(after, aRequest);
+  if (aRequest.target > Milliseconds(0) && wait > LongestWait(aRequest)) {
+    aRefusal = SlotRefusal::kWaitTooLong;
+    return std::nullopt;
+  }
+  if (aRequest.callClass == config::CallClass::kCheck) {
+    mChecks.push_back(aRequest);
+  } else {
+    mOthers.insert(PlaceOf(aRequest), aRequest);
+  }
   return Answer::kQueued;
 }
 
@@ -86,7 +96,7 @@
   std::vector<std::uint64_t> expired;
   for (auto* queue : { &mChecks, &mOthers }) {
     std::erase_if(*queue, [&](const SlotRequest& aRequest) {
-      if (aRequest.deadline > aNow) {
+      if (aRequest.deadline > aNow + kExpiryLead) {
         return false;
       }
       expired.push_back(aRequest.id);
@@ -131,13 +141,31 @@
   return aClass == config::CallClass::kCheck ? mChecksBusy : mOthersBusy;
 }
 
+std::deque<SlotRequest>::const_iterator
+SlotQueue::PlaceOf(const SlotRequest& aRequest) const
+{
+  const auto order = [](const SlotRequest& aItem) {
+    return std::pair(aItem.priority, aItem.targetAt);
+  };
+  return std::ranges::upper_bound(mOthers, order(aRequest), {}, order);
+}
+
+Milliseconds
+SlotQueue::LongestWait(const SlotRequest& aRequest) const
+{
+  const auto service =
+    Milliseconds(static_cast<std::int64_t>(mServiceMs * kServiceMargin));
+  return std::max(aRequest.target - service,
+                  std::chrono::duration_cast<Milliseconds>(
+                    aRequest.target * kLeastWaitPart));
+}
+
 Milliseconds
 SlotQueue::ExpectedWait(const SlotRequest& aRequest) const
 {
-  const auto after = std::ranges::upper_bound(
-    mOthers, aRequest.priority, {}, &SlotRequest::priority);
-  const auto ahead = mChecks.size() + static_cast<std::size_t>(
-                                        after - mOthers.begin());
+  const auto ahead =
+    mChecks.size() +
+    static_cast<std::size_t>(PlaceOf(aRequest) - mOthers.begin());
   const double rounds = static_cast<double>(ahead + 1) /
                         static_cast<double>(std::max(mSlots, 1U));
   return Milliseconds(static_cast<std::int64_t>(mServiceMs * rounds));
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -246,13 +246,21 @@
     return mRetries.try_emplace(aService, mView->retries).first->second;
   }
 
+  routing::PickQuery QueryFor(const Call& aCall,
+                              const std::string& aVersion) const
+  {
+    return { aCall.service,
+             aVersion,
+             mIdentity.zone,
+             aCall.tried,
+             aCall.route.slowAfter };
+  }
+
   const routing::Target* Choose(const Call& aCall)
   {
     for (const auto& version : aCall.versions) {
-      const routing::PickQuery query{
-        aCall.service, version, mIdentity.zone, aCall.tried
-      };
-      if (const auto* target = mPicker.Pick(*mView, query, Now())) {
+      if (const auto* target =
+            mPicker.Pick(*mView, QueryFor(aCall, version), Now())) {
         return target;
       }
     }
@@ -263,7 +271,10 @@
   {
     const routing::Target* target = Choose(*aCall);
     const Timestamp now = Now();
-    if (!target || now + kLeastTimeout > aCall->deadline) {
+    // What is sent with too little time left is wasted.
+    const Milliseconds least =
+      aCall->sendings == 0 ? kLeastTimeout : aCall->route.slowAfter / 4;
+    if (!target || now + least > aCall->deadline) {
       return false;
     }
     Try next;
@@ -277,7 +288,8 @@
     aCall->steps.push_back(
       "try " + std::to_string(aCall->sendings) + ": " + ToString(target->node) +
       " in " + target->zone + ", version " + target->version + ", expected " +
-      std::to_string(std::lround(mPicker.Cost(*target, mIdentity.zone, now))) +
+      std::to_string(std::lround(
+        mPicker.Cost(*target, QueryFor(*aCall, ""), now))) +
       " ms");
     mPicker.Start(target->node);
     OwnedCall owned = Owned(*aCall, next, target->version);
@@ -319,6 +331,7 @@
     }
     owned.deadline = aCall.deadline;
     owned.slowAfter = aCall.route.slowAfter;
+    owned.targetAt = aCall.received + aCall.route.slowAfter;
     owned.trace = aTry.span;
     owned.method = aCall.request.method;
     owned.path = aCall.request.path;
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -15,6 +15,9 @@
 /** Bounds how long a connection that went silent goes unnoticed. */
 constexpr Milliseconds kFollowWait{ 5000 };
 
+/** In which the store usually sends what a peer has already. */
+constexpr Milliseconds kPullDelay{ 250 };
+
 } // namespace
 
 ConfigFollower::ConfigFollower(Services aServices, std::uint64_t aSeed)
@@ -131,6 +134,20 @@
     return;
   }
   mPulling = true;
+  const Milliseconds delay =
+    mStoreReachable.value_or(false) ? kPullDelay : Milliseconds(0);
+  mServices.scheduler.RunAfter(delay, [this, aAddress, aVersion] {
+    if (aVersion <= Version()) {
+      mPulling = false;
+      return;
+    }
+    Pull(aAddress);
+  });
+}
+
+void
+ConfigFollower::Pull(const std::string& aAddress)
+{
   mServices.peers.Pull(
     aAddress,
     Version(),
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -30,6 +30,19 @@
   return value;
 }
 
+std::optional<std::int64_t>
+SignedNumber(const std::string& aText)
+{
+  if (aText.starts_with('-')) {
+    const auto value = Number(aText.substr(1));
+    return value ? std::optional(-static_cast<std::int64_t>(*value))
+                 : std::nullopt;
+  }
+  const auto value = Number(aText);
+  return value ? std::optional(static_cast<std::int64_t>(*value))
+               : std::nullopt;
+}
+
 void
 AddForwarded(std::vector<LinkHeader>& aOut,
              const std::vector<callers::HttpHeader>& aHeaders)
@@ -104,6 +117,10 @@
     { "class", std::string(NameOf(config::kCallClassNames, aCall.callClass)) },
     { "timeout-us", std::to_string(left.count()) },
     { "slow-ms", std::to_string(aCall.slowAfter.count()) },
+    { "aim-ms",
+      std::to_string(
+        std::chrono::duration_cast<Milliseconds>(aCall.targetAt - aNow)
+          .count()) },
     { "method", aCall.method },
     { "target", aCall.path },
     { "length", std::to_string(aCall.body.size()) }
@@ -138,10 +155,11 @@
   }
   const auto left = Number(header("timeout-us"));
   const auto slow = Number(header("slow-ms"));
+  const auto aim = SignedNumber(header("aim-ms"));
   const auto length = Number(header("length"));
   const auto callClass = ValueOf(config::kCallClassNames, header("class"));
   const std::string callId = header("call-id");
-  if (!left || !slow || !length || !callClass || callId.empty()) {
+  if (!left || !slow || !aim || !length || !callClass || callId.empty()) {
     aReason = "the call lacks a field";
     return std::nullopt;
   }
@@ -161,6 +179,7 @@
   call.idempotencyKey = header("key");
   call.deadline = aNow + Microseconds(static_cast<std::int64_t>(*left));
   call.slowAfter = Milliseconds(static_cast<std::int64_t>(*slow));
+  call.targetAt = aNow + Milliseconds(*aim);
   call.trace = telemetry::TraceContext::Parse(header("trace"))
                  .value_or(telemetry::TraceContext{});
   call.method = header("method");
--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -112,6 +112,9 @@
   static int OnFrame(nghttp2_session*, const nghttp2_frame* aFrame, void* aSelf)
   {
     auto& self = Self(aSelf);
+    if (self.mFailed) {
+      return 0;
+    }
     switch (aFrame->hd.type) {
       case NGHTTP2_DATA:
       case NGHTTP2_HEADERS:
@@ -143,7 +146,9 @@
                            void* aSelf)
   {
     auto& self = Self(aSelf);
-    self.mHandler.onStreamClosed(aStream, aErrorCode);
+    if (!self.mFailed) {
+      self.mHandler.onStreamClosed(aStream, aErrorCode);
+    }
     self.mStreams.erase(aStream);
     return 0;
   }
@@ -173,6 +178,9 @@
   static void OnReadable(bufferevent* aBuffer, void* aSelf)
   {
     auto& self = Self(aSelf);
+    if (self.mFailed) {
+      return;
+    }
     evbuffer* input = bufferevent_get_input(aBuffer);
     const std::size_t size = evbuffer_get_length(input);
     const std::uint8_t* data = evbuffer_pullup(input, -1);
@@ -351,6 +359,8 @@
 {
   if (!mFailed) {
     mFailed = true;
+    // The owner may end this session later; until then nothing may be heard.
+    bufferevent_disable(mBuffer, EV_READ | EV_WRITE);
     mHandler.onClosed(aWhy);
   }
 }
--- a/src/routing/Picker.cpp
+++ b/src/routing/Picker.cpp
@@ -44,7 +44,7 @@
   double bestCost = 0;
   std::uniform_real_distribution<double> noise(1, 1 + kTieNoise);
   for (const Target* target : usable) {
-    const double cost = Cost(*target, aQuery.zone, aNow) * noise(mRandom);
+    const double cost = Cost(*target, aQuery, aNow) * noise(mRandom);
     if (!best || cost < bestCost) {
       best = target;
       bestCost = cost;
@@ -115,7 +115,7 @@
 
 double
 Picker::Cost(const Target& aTarget,
-             const std::string& aZone,
+             const PickQuery& aQuery,
              Timestamp aNow) const
 {
   static const State kUnknown;
@@ -132,7 +132,11 @@
   const double failures =
     1 + kFailureWeight * state.load.failedPercent / kPercent;
   const double away =
-    aTarget.zone == aZone ? 0 : service * mOptions.zonePenalty;
+    aTarget.zone == aQuery.zone
+      ? 0
+      : std::max(service * mOptions.zonePenalty,
+                 static_cast<double>(aQuery.target.count()) *
+                   mOptions.zonePenaltyTarget);
   return (service * crowding + wait) * failures + away;
 }
 
