--- a/include/knapweedpaddle/routing/RetryPolicy.h
+++ b/include/knapweedpaddle/routing/RetryPolicy.h
@@ -48,6 +48,9 @@
 {
   double perCall = 0.1; ///< retries earned by each first try
   double burst = 20;    ///< retries at once
+  /** Retries that one costs after a try that may have run: the calls that its
+   * run made are made again, too. */
+  double runCost = 1;
 };
 
 /**
--- a/include/knapweedpaddle/routing/TokenBucket.h
+++ b/include/knapweedpaddle/routing/TokenBucket.h
@@ -14,8 +14,8 @@
    */
   TokenBucket(double aRatePerSecond, double aBurst);
 
-  /** Takes one token; false when there is none. Times must not fall. */
-  bool Take(Timestamp aNow);
+  /** Takes tokens; false when there are too few. Times must not fall. */
+  bool Take(Timestamp aNow, double aTokens = 1);
 
   /** Changes the burst; tokens beyond it are lost. */
   void SetBurst(double aBurst);
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -13,7 +13,9 @@
 /** A server is taken as gone after so many intervals without a report. */
 constexpr int kSilentIntervals = 6;
 /** Of the retries allowed to all nodes, the part that is given out. */
-constexpr double kRetryRatioPart = 0.6;
+constexpr double kRetryRatioPart = 0.65;
+/** Retries that one of a call that ran costs: its run makes calls, too. */
+constexpr double kRunRetryCost = 2;
 constexpr double kRetrySlackPart = 0.7;
 
 } // namespace
@@ -219,7 +221,8 @@
   const auto nodes = static_cast<double>(Members().Members().size() + 1);
   routing::RetryOptions options;
   options.perCall = mSettings.retryRatio * kRetryRatioPart;
-  options.burst = std::max(1.0, mSettings.retrySlack * kRetrySlackPart / nodes);
+  options.burst = std::max(kRunRetryCost, mSettings.retrySlack * kRetrySlackPart / nodes);
+  options.runCost = kRunRetryCost;
   return options;
 }
 
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -344,10 +344,12 @@
   {
     const Timestamp now = mControlLoop.Now();
     const bool lingers = now < mLingerUntil;
-    if ((lingers || aLeft > 0) && now < mStopBy) {
-      if (!lingers && !std::exchange(mDrained, true)) {
-        mTraffic.Drain();
-      }
+    // Calls that came just before the drain are counted by the next poll.
+    const bool drains = !lingers && !std::exchange(mDrained, true);
+    if (drains) {
+      mTraffic.Drain();
+    }
+    if ((lingers || drains || aLeft > 0) && now < mStopBy) {
       mControlLoop.RunAfter(kStopPoll, [this] { AwaitEnd(); });
       return;
     }
--- a/src/routing/RetryPolicy.cpp
+++ b/src/routing/RetryPolicy.cpp
@@ -40,7 +40,9 @@
   if (aTry.tries >= aTry.maxTries) {
     return RetryRefusal::kTooManyTries;
   }
-  if (aTry.arrived && !mBudget.Take(aNow)) {
+  const double cost =
+    aTry.outcome == TryOutcome::kUnknown ? mOptions.runCost : 1;
+  if (aTry.arrived && !mBudget.Take(aNow, cost)) {
     return RetryRefusal::kBudgetSpent;
   }
   return std::nullopt;
--- a/src/routing/TokenBucket.cpp
+++ b/src/routing/TokenBucket.cpp
@@ -12,16 +12,16 @@
 }
 
 bool
-TokenBucket::Take(Timestamp aNow)
+TokenBucket::Take(Timestamp aNow, double aTokens)
 {
   if (mLast != Timestamp{} && aNow > mLast) {
     Add(mRate * std::chrono::duration<double>(aNow - mLast).count());
   }
   mLast = aNow;
-  if (mTokens < 1) {
+  if (mTokens < aTokens) {
     return false;
   }
-  mTokens -= 1;
+  mTokens -= aTokens;
   return true;
 }
 
