Shed evenly over routes, urgent ones a little ahead

Calls now wait by target time and a balance of admitted shares widens or narrows the wait that a route may have.

--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "knapweedpaddle/backends/AdmissionBalance.h"
 #include "knapweedpaddle/common/Time.h"
 #include "knapweedpaddle/config/Entry.h"
 
@@ -31,15 +32,15 @@
   std::uint64_t id = 0; ///< unique among the calls present
   config::CallClass callClass = config::CallClass::kIdempotent;
   Timestamp deadline;
-  std::uint32_t priority = 0; ///< 0 first
+  std::uint32_t priority = 0; ///< 0 is the most urgent
   Milliseconds target{ 0 };   ///< in which an answer is wanted; 0: none
   Timestamp targetAt{};       ///< when that time ends; earlier ones go first
+  std::string route;
 };
 
 /**
  * Admits calls to the backend server's slots. Some slots are kept for calls of
- * class check, which also wait before all others; the others wait by priority and
- * target time. A call is refused at once when the wait that the recent service
+ * class check, which also wait before all others; the others wait by target time. A call is refused at once when the wait that the recent service
  * time suggests would outlast its deadline, or most of its target time.
  *
  * Thread safety: the traffic thread only.
@@ -98,13 +99,16 @@
   bool HasSlotFor(config::CallClass aClass) const;
   std::uint32_t& BusyOf(config::CallClass aClass);
   Milliseconds ExpectedWait(const SlotRequest& aRequest) const;
-  Milliseconds LongestWait(const SlotRequest& aRequest) const;
+  Milliseconds LongestWait(const SlotRequest& aRequest, Timestamp aNow) const;
+  std::optional<SlotRefusal> RefusalFor(const SlotRequest& aRequest,
+                                        Timestamp aNow) const;
   std::deque<SlotRequest>::const_iterator PlaceOf(
     const SlotRequest& aRequest) const;
   void RefuseQueued();
   void GrantNext(Timestamp aNow);
 
   std::uint32_t mCheckSlots;
+  AdmissionBalance mBalance;
   Granted mGranted;
   std::uint32_t mSlots = 0;
   std::uint32_t mChecksBusy = 0;
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -166,7 +166,8 @@
                    call.deadline,
                    call.priority,
                    call.slowAfter,
-                   call.targetAt },
+                   call.targetAt,
+                   call.route },
       Now(),
       refusal);
     if (!answer) {
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -11,8 +11,9 @@
 /** Waiting calls are refused so long before their deadline, for the refusal to
  * reach the caller in time. */
 constexpr Milliseconds kExpiryLead{ 30 };
-constexpr double kServiceMargin = 1.3; ///< over the mean, kept of the target
-constexpr double kLeastWaitPart = 0.25; ///< of the target, always allowed
+constexpr double kServiceMargin = 1.6; ///< over the mean, kept of the target
+constexpr double kWaitPart = 0.8;      ///< of what is left of the target then
+constexpr double kLeastWaitPart = 0.2; ///< of the target, always allowed
 constexpr double kServiceSpan = 12; ///< calls that the average remembers
 
 } // namespace
@@ -43,19 +44,13 @@
   }
   if (HasSlotFor(aRequest.callClass)) {
     ++BusyOf(aRequest.callClass);
+    mBalance.Note(aRequest.route, aRequest.priority, true, aNow);
     return Answer::kTaken;
   }
-  if (Queued() >= kQueuePerSlot * mSlots) {
-    aRefusal = SlotRefusal::kQueueFull;
-    return std::nullopt;
-  }
-  const Milliseconds wait = ExpectedWait(aRequest);
-  if (aNow + wait >= aRequest.deadline) {
-    aRefusal = SlotRefusal::kDeadlineTooNear;
-    return std::nullopt;
-  }
-  if (aRequest.target > Milliseconds(0) && wait > LongestWait(aRequest)) {
-    aRefusal = SlotRefusal::kWaitTooLong;
+  const auto refusal = RefusalFor(aRequest, aNow);
+  mBalance.Note(aRequest.route, aRequest.priority, !refusal, aNow);
+  if (refusal) {
+    aRefusal = *refusal;
     return std::nullopt;
   }
   if (aRequest.callClass == config::CallClass::kCheck) {
@@ -141,23 +136,39 @@
   return aClass == config::CallClass::kCheck ? mChecksBusy : mOthersBusy;
 }
 
+std::optional<SlotRefusal>
+SlotQueue::RefusalFor(const SlotRequest& aRequest, Timestamp aNow) const
+{
+  if (Queued() >= kQueuePerSlot * mSlots) {
+    return SlotRefusal::kQueueFull;
+  }
+  const Milliseconds wait = ExpectedWait(aRequest);
+  if (aNow + wait >= aRequest.deadline) {
+    return SlotRefusal::kDeadlineTooNear;
+  }
+  if (aRequest.target > Milliseconds(0) &&
+      wait > LongestWait(aRequest, aNow)) {
+    return SlotRefusal::kWaitTooLong;
+  }
+  return std::nullopt;
+}
+
 std::deque<SlotRequest>::const_iterator
 SlotQueue::PlaceOf(const SlotRequest& aRequest) const
 {
-  const auto order = [](const SlotRequest& aItem) {
-    return std::pair(aItem.priority, aItem.targetAt);
-  };
-  return std::ranges::upper_bound(mOthers, order(aRequest), {}, order);
+  return std::ranges::upper_bound(
+    mOthers, aRequest.targetAt, {}, &SlotRequest::targetAt);
 }
 
 Milliseconds
-SlotQueue::LongestWait(const SlotRequest& aRequest) const
+SlotQueue::LongestWait(const SlotRequest& aRequest, Timestamp aNow) const
 {
-  const auto service =
-    Milliseconds(static_cast<std::int64_t>(mServiceMs * kServiceMargin));
-  return std::max(aRequest.target - service,
-                  std::chrono::duration_cast<Milliseconds>(
-                    aRequest.target * kLeastWaitPart));
+  const auto target = static_cast<double>(aRequest.target.count());
+  const double wait = std::max((target - mServiceMs * kServiceMargin) * kWaitPart,
+                               target * kLeastWaitPart);
+  const double factor =
+    mBalance.WaitFactor(aRequest.route, aRequest.priority, aNow);
+  return Milliseconds(static_cast<std::int64_t>(wait * factor));
 }
 
 Milliseconds
