Two readers a zone follow the store; others take deltas from peers

Nodes without the reader's duty now pull entry deltas from peers and turn to the store only when they hear no peer.

--- a/include/knapweedpaddle/config/Entry.h
+++ b/include/knapweedpaddle/config/Entry.h
@@ -128,6 +128,17 @@
   bool operator==(const MoveEntry&) const = default;
 };
 
+/** What callers may send to a node, and how long they may take. */
+struct CallerLimits
+{
+  std::size_t headerBytes = 64UL * 1024;
+  std::size_t bodyBytes = 64UL * 1024 * 1024;
+  Milliseconds headerTimeout{ 5000 }; ///< for a whole request once begun
+  Milliseconds idleTimeout{ 60'000 }; ///< between requests
+
+  bool operator==(const CallerLimits&) const = default;
+};
+
 using Entry = std::variant<ServiceEntry, RouteEntry, LimitEntry, MoveEntry>;
 
 /** Names an entry: kind and name are unique together. */
--- a/include/knapweedpaddle/config/Snapshot.h
+++ b/include/knapweedpaddle/config/Snapshot.h
@@ -16,6 +16,7 @@
 {
   std::uint64_t version = 0;
   std::map<EntryId, Entry> entries;
+  CallerLimits callerLimits;
 
   const Entry* Find(const EntryId& aId) const;
 
@@ -36,12 +37,13 @@
 
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
 
-/** One accepted change: what turns version - 1 into version. */
+/** One accepted change: what turns its base version into version. */
 struct Change
 {
   std::uint64_t version = 0;
+  std::uint64_t baseVersion = 0; ///< 0 for version - 1
   std::string operationId;
-  std::string digest; ///< of the snapshot that results
+  std::string digest; ///< of the snapshot that results, or empty
   std::vector<Entry> upserts;
   std::vector<EntryId> removals;
 };
@@ -53,6 +55,10 @@
 Snapshot
 WithChange(const Snapshot& aBase, const Change& aChange);
 
+/** Returns the change that turns one snapshot into another. */
+Change
+Difference(const Snapshot& aFrom, const Snapshot& aTo);
+
 /**
  * Checks that every field is in range and every reference resolves.
  *
--- a/include/knapweedpaddle/http/Server.h
+++ b/include/knapweedpaddle/http/Server.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "knapweedpaddle/common/Time.h"
+#include "knapweedpaddle/config/Entry.h"
 #include "knapweedpaddle/http/Message.h"
 
 #include <functional>
@@ -12,14 +12,7 @@
 
 namespace knapweedpaddle::http {
 
-/** What a client may send, and how long it may take. */
-struct ServerLimits
-{
-  std::size_t headerBytes = 64UL * 1024;
-  std::size_t bodyBytes = 64UL * 1024 * 1024;
-  Milliseconds headerTimeout{ 5000 }; ///< for a whole request once begun
-  Milliseconds idleTimeout{ 60'000 }; ///< between requests
-};
+using ServerLimits = config::CallerLimits;
 
 /**
  * One request and its answer. May outlive its connection; an answer after that
--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -5,11 +5,14 @@
 #include "knapweedpaddle/operators/OrderDesk.h"
 #include "knapweedpaddle/runtime/Scheduler.h"
 
+#include <deque>
+
 namespace knapweedpaddle::node {
 
 /**
- * Holds the newest configuration that operators wrote: follows the store, and
- * takes it from peers that are ahead. Versions only rise.
+ * Holds the newest configuration that operators wrote. Nodes with the reader's
+ * duty follow the store; the others take changes from peers that are ahead, and
+ * read the store themselves while they hear no peer. Versions only rise.
  *
  * Thread safety: control thread only.
  */
@@ -21,7 +24,9 @@
     runtime::Scheduler& scheduler;
     operators::OrderDesk& desk;
     nodes::PeerClient& peers;
-    std::function<void()> onApplied;
+    std::function<bool()> isReader;
+    /** @param aFromStore  false when a peer sent the configuration. */
+    std::function<void(bool aFromStore)> onApplied;
     std::function<void(const std::vector<operators::RolloutOrder>&)> onOrders;
     /** Hears when the store is lost and regained. */
     std::function<void(bool aReachable, const std::string& aWhy)> onStore;
@@ -29,43 +34,57 @@
 
   ConfigFollower(Services aServices, std::uint64_t aSeed);
 
-  /** Begins to follow the store. */
+  /** Begins to look for a configuration. */
   void Start();
 
+  /** Follows the store or stops doing so; call every 100 ms. */
+  void Tick();
+
   /** Reads everything anew, as after a pause of the process. */
   void Refresh();
 
-  /** Takes the configuration of a peer that is ahead, unless the store sends it
-   * first. */
+  /** Notes a message of any peer. */
+  void OnPeerHeard() { mPeerHeardAt = mServices.scheduler.Now(); }
+
+  /** Takes the configuration of a peer that is ahead. */
   void OnPeerVersion(const std::string& aAddress, std::uint64_t aVersion);
 
   /** Answers a peer that is behind. */
   nodes::PullAnswer MakePullAnswer(std::uint64_t aFrom) const;
 
-  bool HasConfig() const { return mConfig.snapshot != nullptr; }
-  std::uint64_t Version() const;
-  const operators::OrderedConfig& Current() const { return mConfig; }
+  bool HasConfig() const { return mConfig != nullptr; }
+  std::uint64_t Version() const { return mConfig ? mConfig->version : 0; }
+  const config::SnapshotPtr& Current() const { return mConfig; }
 
   /** Where the configuration in force came from. */
   const std::string& Source() const { return mSource; }
 
 private:
+  bool WantsStore() const;
   void ReadAll();
   void Follow(std::uint64_t aAfter);
   void OnNews(const operators::OrderNews& aNews);
-  void Pull(const std::string& aAddress);
-  void Retry(const store::StoreReason& aReason);
+  void Retry(const store::StoreReason& aReason, std::uint64_t aAfter);
   void NoteStore(bool aReachable, const std::string& aWhy);
-  void Apply(const std::string& aText, const std::string& aSource);
+  void Pull(const std::string& aAddress);
+  bool ApplyAnswer(const nodes::PullAnswer& aAnswer,
+                   const std::string& aSource);
+  bool ApplyChanges(const std::vector<std::string>& aChanges,
+                    const std::string& aSource);
+  void ApplyText(const std::string& aText);
+  void Apply(config::SnapshotPtr aConfig, const std::string& aSource);
 
   Services mServices;
   std::mt19937_64 mRandom;
   Backoff mBackoff;
-  operators::OrderedConfig mConfig;
-  std::string mText; ///< of the configuration, as operators wrote it
+  config::SnapshotPtr mConfig;
   std::string mSource;
-  std::uint64_t mRound = 0; ///< outdates calls from before Refresh()
+  std::deque<config::Change> mHistory; ///< the latest changes, oldest first
+  std::uint64_t mRound = 0;            ///< outdates calls of earlier rounds
+  bool mFollowing = false;
   bool mPulling = false;
+  Timestamp mAloneUntil{}; ///< before it peers may bring the configuration
+  Timestamp mPeerHeardAt{};
   std::optional<bool> mStoreReachable;
 };
 
--- a/include/knapweedpaddle/node/FleetCore.h
+++ b/include/knapweedpaddle/node/FleetCore.h
@@ -25,7 +25,7 @@
     nodes::PeerClient& peers;
     std::function<void(const nodes::Datagram&)> send;
     std::function<void(routing::RoutingViewPtr)> publish;
-    std::function<void(const http::ServerLimits&)> setCallerLimits;
+    std::function<void(const config::CallerLimits&)> setCallerLimits;
     /** Sets the server that takes calls; the task runs once that holds. */
     std::function<void(std::optional<backends::BackendServer>,
                        std::function<void()>)>
@@ -86,7 +86,7 @@
 
 private:
   void OnTick();
-  void OnApplied();
+  void OnApplied(bool aFromStore);
   void OnJoinAnswer(const nodes::JoinAnswer& aAnswer);
   void UpdateSelf();
   void Publish();
--- a/include/knapweedpaddle/node/RolloutAgent.h
+++ b/include/knapweedpaddle/node/RolloutAgent.h
@@ -11,9 +11,9 @@
 
 /**
  * Moves services to the versions that operators order: reports the own backend
- * server's counts, judges where this node holds that duty, spreads progress and
- * tells operators the end. One judge a zone; as progress only grows, all may
- * act.
+ * server's counts, judges where this node is its zone's first reader of the
+ * store, spreads progress and tells operators the end. As progress only grows,
+ * all judges may act.
  *
  * Thread safety: control thread only.
  */
@@ -69,7 +69,7 @@
   void AdvanceRollout(const moves::Rollout& aRollout);
   bool IsProved(const moves::Rollout& aRollout) const;
   bool HasNewServers(const moves::Rollout& aRollout) const;
-  void Tell(const moves::Rollout& aRollout);
+  void Tell(const moves::Rollout& aRollout, bool aIsJudge);
   void Write(const moves::Rollout& aRollout,
              operators::RolloutState aState,
              const operators::RolloutStatus& aStatus);
--- a/include/knapweedpaddle/nodes/Membership.h
+++ b/include/knapweedpaddle/nodes/Membership.h
@@ -80,6 +80,10 @@
   /** Returns messages that tell some random members of this node's version. */
   std::vector<Datagram> VersionHints();
 
+  /** Returns messages that tell all live members of the own zone, and some of
+   * other zones, of this node's version. */
+  std::vector<Datagram> ZoneHints();
+
   /** Returns messages that carry move progress to random members of any zone.
    */
   std::vector<Datagram> ProgressMessages(
--- a/include/knapweedpaddle/nodes/ZoneReaders.h
+++ b/include/knapweedpaddle/nodes/ZoneReaders.h
@@ -4,6 +4,9 @@
 
 namespace knapweedpaddle::nodes {
 
+/** The duty of following the store for a zone. */
+inline constexpr const char* kReaderDuty = "config-reader";
+
 /**
  * Returns the members of a zone that hold a shared duty, by rendezvous hash
  * over those alive. Members with different views may both take the duty, so a
--- a/include/knapweedpaddle/operators/OrderDesk.h
+++ b/include/knapweedpaddle/operators/OrderDesk.h
@@ -1,18 +1,10 @@
 #pragma once
 
 #include "knapweedpaddle/config/Snapshot.h"
-#include "knapweedpaddle/http/Server.h"
 #include "knapweedpaddle/store/StoreClient.h"
 
 namespace knapweedpaddle::operators {
 
-/** A configuration that operators wrote as a whole. */
-struct OrderedConfig
-{
-  config::SnapshotPtr snapshot;
-  http::ServerLimits limits; ///< for callers
-};
-
 /** Operators want a service's calls to move to another version. */
 struct RolloutOrder
 {
@@ -78,10 +70,10 @@
                       Milliseconds aWait,
                       NewsCallback aCallback) = 0;
 
-  /** Decodes a configuration; nothing, with the fault in aReason, if it can't
-   * be read. */
-  virtual std::optional<OrderedConfig> Decode(const std::string& aText,
-                                              std::string& aReason) const = 0;
+  /** Decodes a configuration; null, with the fault in aReason, if it can't be
+   * read. */
+  virtual config::SnapshotPtr Decode(const std::string& aText,
+                                     std::string& aReason) const = 0;
 
   virtual void ReadStatus(const std::string& aService,
                           StatusCallback aCallback) = 0;
--- a/src/config/EntryCodec.cpp
+++ b/src/config/EntryCodec.cpp
@@ -78,6 +78,35 @@
   return entry;
 }
 
+Json
+ToJson(const CallerLimits& aLimits)
+{
+  return Json{ { "header_bytes", aLimits.headerBytes },
+               { "body_bytes", aLimits.bodyBytes },
+               { "header_timeout_ms", aLimits.headerTimeout.count() },
+               { "idle_timeout_ms", aLimits.idleTimeout.count() } };
+}
+
+CallerLimits
+LimitsFrom(const Json& aJson)
+{
+  FieldReader reader(aJson, "caller_limits");
+  CallerLimits limits;
+  const auto size = [&reader](const char* aName, std::size_t aDefault) {
+    return static_cast<std::size_t>(
+      reader.Integer(aName, static_cast<std::int64_t>(aDefault)));
+  };
+  const auto time = [&reader](const char* aName, Milliseconds aDefault) {
+    return Milliseconds(reader.Integer(aName, aDefault.count()));
+  };
+  limits.headerBytes = size("header_bytes", limits.headerBytes);
+  limits.bodyBytes = size("body_bytes", limits.bodyBytes);
+  limits.headerTimeout = time("header_timeout_ms", limits.headerTimeout);
+  limits.idleTimeout = time("idle_timeout_ms", limits.idleTimeout);
+  reader.Finish();
+  return limits;
+}
+
 std::vector<RouteShare>
 SplitFrom(const Json* aArray)
 {
@@ -243,13 +272,15 @@
   for (const auto& it : aChange.removals) {
     removals.push_back(it.ToString());
   }
-  return Json{
-    { "version", aChange.version },
-    { "operation_id", aChange.operationId },
-    { "digest", aChange.digest },
-    { "upserts", ToJson(aChange.upserts) },
-    { "removals", removals }
-  }.dump();
+  Json json{ { "version", aChange.version },
+             { "operation_id", aChange.operationId },
+             { "digest", aChange.digest },
+             { "upserts", ToJson(aChange.upserts) },
+             { "removals", removals } };
+  if (aChange.baseVersion > 0) {
+    json["base_version"] = aChange.baseVersion;
+  }
+  return json.dump();
 }
 
 std::optional<Change>
@@ -259,6 +290,8 @@
     FieldReader reader(aParsed, "change");
     Change change;
     change.version = static_cast<std::uint64_t>(reader.Integer("version", 0));
+    change.baseVersion =
+      static_cast<std::uint64_t>(reader.Integer("base_version", 0));
     change.operationId = reader.Text("operation_id");
     change.digest = reader.Text("digest");
     change.upserts = EntriesFrom(reader.Array("upserts"));
@@ -282,6 +315,7 @@
   return Json{
     { "version", aSnapshot.version },
     { "digest", aSnapshot.Digest() },
+    { "caller_limits", ToJson(aSnapshot.callerLimits) },
     { "entries", entries }
   }.dump();
 }
@@ -296,6 +330,9 @@
       Snapshot result;
       result.version = static_cast<std::uint64_t>(reader.Integer("version", 0));
       digest = reader.Text("digest");
+      if (const Json* limits = reader.Object("caller_limits")) {
+        result.callerLimits = LimitsFrom(*limits);
+      }
       for (auto& it : EntriesFrom(reader.Array("entries"))) {
         result.entries.insert_or_assign(IdOf(it), it);
       }
--- a/src/config/FieldReader.h
+++ b/src/config/FieldReader.h
@@ -97,6 +97,15 @@
     return it;
   }
 
+  const Json* Object(const char* aName)
+  {
+    const Json* it = Take(aName, false);
+    if (it && !it->is_object()) {
+      throw FieldError{ Label(aName) + " must be an object" };
+    }
+    return it;
+  }
+
   void Finish()
   {
     for (const auto& [key, value] : mObject.items()) {
--- a/src/config/Snapshot.cpp
+++ b/src/config/Snapshot.cpp
@@ -44,6 +44,25 @@
   return HexDigits(hash.high64, hash.low64);
 }
 
+Change
+Difference(const Snapshot& aFrom, const Snapshot& aTo)
+{
+  Change change;
+  change.version = aTo.version;
+  change.baseVersion = aFrom.version;
+  for (const auto& [id, entry] : aTo.entries) {
+    if (const Entry* old = aFrom.Find(id); !old || *old != entry) {
+      change.upserts.push_back(entry);
+    }
+  }
+  for (const auto& [id, entry] : aFrom.entries) {
+    if (!aTo.entries.contains(id)) {
+      change.removals.push_back(id);
+    }
+  }
+  return change;
+}
+
 Snapshot
 WithChange(const Snapshot& aBase, const Change& aChange)
 {
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/node/ConfigFollower.h"
 
+#include "knapweedpaddle/config/EntryCodec.h"
 #include "knapweedpaddle/telemetry/Log.h"
 
 namespace knapweedpaddle::node {
@@ -14,9 +15,22 @@
 constexpr Milliseconds kLongestRetry{ 1000 };
 /** Bounds how long a connection that went silent goes unnoticed. */
 constexpr Milliseconds kFollowWait{ 5000 };
+/** A starting node waits up to this for a peer's configuration, so that a herd
+ * does not read the store all at once. */
+constexpr Milliseconds kLongestStartDelay{ 500 };
+/** Without a message for so long, peers can't be relied on for changes. Each
+ * probe period brings at least one when they are reachable. */
+constexpr Milliseconds kLonely{ 1300 };
+constexpr std::size_t kHistoryLimit = 64; ///< changes kept for peers
 
-/** In which the store usually sends what a peer has already. */
-constexpr Milliseconds kPullDelay{ 250 };
+void
+LogRefused(const std::string& aSource, const std::string& aReason)
+{
+  telemetry::LogEvent(telemetry::LogCategory::kConfig,
+                      telemetry::LogLevel::kError,
+                      "config_unreadable",
+                      { { "source", aSource }, { "reason", aReason } });
+}
 
 } // namespace
 
@@ -30,20 +44,45 @@
 void
 ConfigFollower::Start()
 {
-  ReadAll();
+  const Timestamp now = mServices.scheduler.Now();
+  const Milliseconds delay(std::uniform_int_distribution<std::int64_t>(
+    0, kLongestStartDelay.count())(mRandom));
+  mAloneUntil = now + delay;
+  mPeerHeardAt = now;
+  mServices.scheduler.RunAfter(delay, [this] { Tick(); });
+}
+
+bool
+ConfigFollower::WantsStore() const
+{
+  const Timestamp now = mServices.scheduler.Now();
+  if (!HasConfig()) {
+    return now >= mAloneUntil;
+  }
+  return mServices.isReader() || now - mPeerHeardAt > kLonely;
 }
 
 void
-ConfigFollower::Refresh()
+ConfigFollower::Tick()
 {
-  ++mRound;
-  ReadAll();
+  const bool wanted = WantsStore();
+  if (wanted && !mFollowing) {
+    mFollowing = true;
+    ++mRound;
+    ReadAll();
+  } else if (!wanted && mFollowing) {
+    mFollowing = false;
+    ++mRound;
+  }
 }
 
-std::uint64_t
-ConfigFollower::Version() const
+void
+ConfigFollower::Refresh()
 {
-  return mConfig.snapshot ? mConfig.snapshot->version : 0;
+  mFollowing = false;
+  mAloneUntil = mServices.scheduler.Now();
+  ++mRound;
+  ReadAll();
 }
 
 void
@@ -56,7 +95,7 @@
         return;
       }
       if (!aNews) {
-        Retry(aReason);
+        Retry(aReason, 0);
         return;
       }
       OnNews(*aNews);
@@ -76,19 +115,11 @@
       }
       if (aNews) {
         OnNews(*aNews);
-        return;
-      }
-      if (aReason.code == StoreError::kHistoryGone) {
+      } else if (aReason.code == StoreError::kHistoryGone) {
         ReadAll();
-        return;
+      } else {
+        Retry(aReason, aAfter);
       }
-      NoteStore(false, aReason.message);
-      mServices.scheduler.RunAfter(mBackoff.Next(mRandom),
-                                   [this, round, aAfter] {
-                                     if (round == mRound) {
-                                       Follow(aAfter);
-                                     }
-                                   });
     });
 }
 
@@ -98,23 +129,31 @@
   mBackoff.Reset();
   NoteStore(true, "");
   if (aNews.configText) {
-    Apply(*aNews.configText, "store");
+    ApplyText(*aNews.configText);
   }
   if (!aNews.rollouts.empty()) {
     mServices.onOrders(aNews.rollouts);
   }
-  Follow(aNews.revision);
+  if (mFollowing) {
+    Follow(aNews.revision);
+  }
 }
 
 void
-ConfigFollower::Retry(const StoreReason& aReason)
+ConfigFollower::Retry(const StoreReason& aReason, std::uint64_t aAfter)
 {
   NoteStore(false, aReason.message);
-  mServices.scheduler.RunAfter(mBackoff.Next(mRandom), [this, round = mRound] {
-    if (round == mRound) {
-      ReadAll();
-    }
-  });
+  mServices.scheduler.RunAfter(
+    mBackoff.Next(mRandom), [this, round = mRound, aAfter] {
+      if (round != mRound) {
+        return;
+      }
+      if (aAfter > 0) {
+        Follow(aAfter);
+      } else {
+        ReadAll();
+      }
+    });
 }
 
 void
@@ -130,31 +169,32 @@
 ConfigFollower::OnPeerVersion(const std::string& aAddress,
                               std::uint64_t aVersion)
 {
-  if (aVersion <= Version() || mPulling) {
-    return;
-  }
-  mPulling = true;
-  const Milliseconds delay =
-    mStoreReachable.value_or(false) ? kPullDelay : Milliseconds(0);
-  mServices.scheduler.RunAfter(delay, [this, aAddress, aVersion] {
-    if (aVersion <= Version()) {
-      mPulling = false;
-      return;
-    }
+  if (aVersion > Version() && !mPulling) {
     Pull(aAddress);
-  });
+  }
 }
 
 void
 ConfigFollower::Pull(const std::string& aAddress)
 {
+  mPulling = true;
   mServices.peers.Pull(
     aAddress,
     Version(),
     [this, aAddress](const std::optional<nodes::PullAnswer>& aAnswer) {
       mPulling = false;
-      if (aAnswer && !aAnswer->snapshot.empty()) {
-        Apply(aAnswer->snapshot, "peer " + aAddress);
+      if (!aAnswer) {
+        // The peer is heard but can't be asked.
+        if (!mFollowing) {
+          ++mRound;
+          ReadAll();
+        }
+        return;
+      }
+      const std::uint64_t before = Version();
+      if (ApplyAnswer(*aAnswer, "peer " + aAddress) && Version() > before &&
+          aAnswer->configVersion > Version()) {
+        Pull(aAddress);
       }
     });
 }
@@ -164,31 +204,89 @@
 {
   nodes::PullAnswer answer;
   answer.configVersion = Version();
-  if (answer.configVersion > aFrom) {
-    answer.snapshot = mText;
+  if (answer.configVersion <= aFrom) {
+    return answer;
+  }
+  auto it = std::ranges::find(mHistory, aFrom, &config::Change::baseVersion);
+  if (it == mHistory.end()) {
+    answer.snapshot = config::EncodeSnapshot(*mConfig);
+    return answer;
+  }
+  for (; it != mHistory.end(); ++it) {
+    answer.changes.push_back(config::EncodeChange(*it));
   }
   return answer;
 }
 
+bool
+ConfigFollower::ApplyAnswer(const nodes::PullAnswer& aAnswer,
+                            const std::string& aSource)
+{
+  if (aAnswer.snapshot.empty()) {
+    return ApplyChanges(aAnswer.changes, aSource);
+  }
+  config::ConfigReason reason;
+  auto snapshot = config::DecodeSnapshot(aAnswer.snapshot, reason);
+  if (!snapshot) {
+    LogRefused(aSource, reason.message);
+    return false;
+  }
+  Apply(std::make_shared<const config::Snapshot>(std::move(*snapshot)),
+        aSource);
+  return true;
+}
+
+bool
+ConfigFollower::ApplyChanges(const std::vector<std::string>& aChanges,
+                             const std::string& aSource)
+{
+  for (const auto& it : aChanges) {
+    config::ConfigReason reason;
+    const auto change = config::DecodeChange(it, reason);
+    if (!change) {
+      LogRefused(aSource, reason.message);
+      return false;
+    }
+    // The store may have brought this one meanwhile.
+    if (change->baseVersion != Version()) {
+      continue;
+    }
+    Apply(std::make_shared<const config::Snapshot>(
+            config::WithChange(*mConfig, *change)),
+          aSource);
+  }
+  return true;
+}
+
 void
-ConfigFollower::Apply(const std::string& aText, const std::string& aSource)
+ConfigFollower::ApplyText(const std::string& aText)
 {
   std::string reason;
-  auto config = mServices.desk.Decode(aText, reason);
-  if (!config) {
-    telemetry::LogEvent(telemetry::LogCategory::kConfig,
-                        telemetry::LogLevel::kError,
-                        "config_unreadable",
-                        { { "source", aSource }, { "reason", reason } });
+  auto snapshot = mServices.desk.Decode(aText, reason);
+  if (!snapshot) {
+    LogRefused("store", reason);
     return;
   }
-  if (HasConfig() && config->snapshot->version <= Version()) {
+  Apply(std::move(snapshot), "store");
+}
+
+void
+ConfigFollower::Apply(config::SnapshotPtr aConfig, const std::string& aSource)
+{
+  if (HasConfig() && aConfig->version <= Version()) {
     return;
   }
-  mConfig = std::move(*config);
-  mText = aText;
+  if (HasConfig() && mConfig->callerLimits == aConfig->callerLimits) {
+    mHistory.push_back(config::Difference(*mConfig, *aConfig));
+    if (mHistory.size() > kHistoryLimit) {
+      mHistory.pop_front();
+    }
+  } else {
+    mHistory.clear(); // A change does not carry limits.
+  }
+  mConfig = std::move(aConfig);
   mSource = aSource;
-  mServices.onApplied();
+  mServices.onApplied(aSource == "store");
 }
 
 } // namespace knapweedpaddle::node
--- a/src/node/ControlCore.cpp
+++ b/src/node/ControlCore.cpp
@@ -14,7 +14,6 @@
 constexpr Milliseconds kSecond{ 1000 };
 constexpr Milliseconds kLongestGap{ 2000 };
 constexpr std::size_t kReadersPerZone = 2;
-constexpr const char* kReaderDuty = "config-reader";
 
 } // namespace
 
@@ -105,7 +104,7 @@
 ControlCore::OnSecond()
 {
   ExpireAnnouncement();
-  if (nodes::HoldsDuty(Members(), kReaderDuty, kReadersPerZone)) {
+  if (nodes::HoldsDuty(Members(), nodes::kReaderDuty, kReadersPerZone)) {
     mConfig.PollHead();
   }
   mMoves.OnSecond();
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -1,5 +1,7 @@
 #include "knapweedpaddle/node/FleetCore.h"
 
+#include "knapweedpaddle/nodes/ZoneReaders.h"
+
 namespace knapweedpaddle::node {
 
 using backends::ReportVerdict;
@@ -12,6 +14,7 @@
 
 /** A server is taken as gone after so many intervals without a report. */
 constexpr int kSilentIntervals = 6;
+constexpr std::size_t kReadersPerZone = 2;
 /** Of the retries allowed to all nodes, the part that is given out. */
 constexpr double kRetryRatioPart = 0.65;
 /** Retries that one of a call that ran costs: its run makes calls, too. */
@@ -46,7 +49,10 @@
       { mServices.scheduler,
         mServices.desk,
         mServices.peers,
-        [this] { OnApplied(); },
+        [this] {
+          return nodes::HoldsDuty(Members(), nodes::kReaderDuty, kReadersPerZone);
+        },
+        [this](bool aFromStore) { OnApplied(aFromStore); },
         [this](const std::vector<operators::RolloutOrder>& aOrders) {
           mRollouts.OnOrders(aOrders);
         },
@@ -89,6 +95,7 @@
 {
   const Timestamp now = mServices.scheduler.Now();
   mMembers.Tick();
+  mConfig.Tick();
   mRollouts.OnTick();
   if (mServer.Expire(now, mSettings.reportInterval * kSilentIntervals)) {
     mServices.note("backend_expired", "no reports");
@@ -113,6 +120,7 @@
 void
 FleetCore::Receive(const nodes::GossipMessage& aMessage)
 {
+  mConfig.OnPeerHeard();
   mMembers.Receive(aMessage);
   mRollouts.Merge(aMessage.moves);
   if (const std::string address = mMembers.LinkAddressOf(aMessage.sender);
@@ -133,16 +141,18 @@
 }
 
 void
-FleetCore::OnApplied()
+FleetCore::OnApplied(bool aFromStore)
 {
   mServices.note("config_applied",
                  "version " + std::to_string(mConfig.Version()) + " from " +
                    mConfig.Source());
   mMembers.Members().SetConfigVersion(mConfig.Version());
-  mServices.setCallerLimits(mConfig.Current().limits);
+  mServices.setCallerLimits(mConfig.Current()->callerLimits);
   UpdateSelf();
   Publish();
-  mMembers.Send(mMembers.Members().VersionHints());
+  // Readers tell their whole zone; news that peers brought spreads by itself.
+  nodes::Membership& members = mMembers.Members();
+  mMembers.Send(aFromStore ? members.ZoneHints() : members.VersionHints());
 }
 
 void
@@ -233,7 +243,7 @@
     return;
   }
   auto view =
-    std::make_shared<routing::RoutingView>(mConfig.Current().snapshot);
+    std::make_shared<routing::RoutingView>(mConfig.Current());
   view->open = true;
   view->retries = RetryShare();
   const auto add = [&view](const MemberRecord& aRecord, bool aSuspect) {
@@ -252,7 +262,7 @@
       add(member.record, member.liveness == Liveness::kSuspect);
     }
   }
-  for (const auto& [id, entry] : mConfig.Current().snapshot->entries) {
+  for (const auto& [id, entry] : mConfig.Current()->entries) {
     if (id.kind == config::EntryKind::kService) {
       view->shares[id.name] = mRollouts.Board().ShareOf(id.name);
     }
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -133,7 +133,7 @@
               [this](routing::RoutingViewPtr aView) {
                 mTraffic.SetView(std::move(aView));
               },
-              [this](const http::ServerLimits& aLimits) {
+              [this](const config::CallerLimits& aLimits) {
                 mTraffic.SetCallerLimits(aLimits);
               },
               [this](std::optional<backends::BackendServer> aBackend,
--- a/src/node/RolloutAgent.cpp
+++ b/src/node/RolloutAgent.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr const char* kJudgeDuty = "rollout-judge";
 constexpr Milliseconds kSpreadEvery{ 500 };
 /** Share of a rollout's time that the canary lasts, within the bounds below. */
 constexpr double kCanaryPart = 0.4;
@@ -152,7 +151,7 @@
   std::vector<nodes::NodeId> judges;
   for (const auto& zone : zones) {
     for (const auto it :
-         nodes::DutyHolders(mServices.members, zone, kJudgeDuty, 1)) {
+         nodes::DutyHolders(mServices.members, zone, nodes::kReaderDuty, 1)) {
       judges.push_back(it);
     }
   }
@@ -180,7 +179,7 @@
         rollout.stage < RolloutStage::kDecided) {
       AdvanceRollout(rollout);
     }
-    Tell(rollout);
+    Tell(rollout, isJudge);
   }
   if (open && isJudge && mServices.scheduler.Now() >= mNextSpread) {
     Spread();
@@ -281,7 +280,7 @@
 }
 
 void
-RolloutAgent::Tell(const Rollout& aRollout)
+RolloutAgent::Tell(const Rollout& aRollout, bool aIsJudge)
 {
   const Timestamp now = mServices.scheduler.Now();
   const std::string service = aRollout.order.service;
@@ -291,7 +290,7 @@
     telling.order = aRollout.order.revision;
   }
   const bool decided = aRollout.stage == RolloutStage::kDecided;
-  if (telling.asking || now < telling.notBefore ||
+  if ((!decided && !aIsJudge) || telling.asking || now < telling.notBefore ||
       now - aRollout.stageAt < TellingDelay() ||
       (!decided && telling.told.has_value())) {
     return;
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -95,7 +95,7 @@
 }
 
 void
-TrafficPlane::SetCallerLimits(const http::ServerLimits& aLimits)
+TrafficPlane::SetCallerLimits(const config::CallerLimits& aLimits)
 {
   mServices.loop.Post([this, aLimits] { mCallers.SetLimits(aLimits); });
 }
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -71,7 +71,7 @@
                   std::function<void()> aDone);
 
   /** Any thread. */
-  void SetCallerLimits(const http::ServerLimits& aLimits);
+  void SetCallerLimits(const config::CallerLimits& aLimits);
 
   /** Any thread. */
   void SetCallerService(const std::string& aService);
--- a/src/nodes/Membership.cpp
+++ b/src/nodes/Membership.cpp
@@ -181,6 +181,19 @@
   return out;
 }
 
+std::vector<Datagram>
+Membership::ZoneHints()
+{
+  std::vector<Datagram> out = VersionHints();
+  for (const auto& [id, member] : mMembers) {
+    if (member.record.zone == mSelf.zone &&
+        member.liveness == Liveness::kAlive) {
+      out.push_back({ id, Message(GossipKind::kVersionHint, 0) });
+    }
+  }
+  return out;
+}
+
 std::vector<Datagram>
 Membership::ProgressMessages(const std::vector<MoveProgress>& aMoves)
 {
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -65,9 +65,9 @@
 {
   std::string reason;
   const auto config = DecodeConfig(kConfig, reason);
-  REQUIRE(config.has_value());
-  CHECK(config->snapshot->version == 7);
-  const auto* a = config->snapshot->Get<config::RouteEntry>(
+  REQUIRE(config);
+  CHECK(config->version == 7);
+  const auto* a = config->Get<config::RouteEntry>(
     config::EntryKind::kRoute, "r-a");
   REQUIRE(a);
   CHECK(a->host == "a.example");
@@ -77,12 +77,12 @@
   CHECK(a->slowAfter == Milliseconds(300));
   CHECK(a->priority == 2);
   CHECK(a->maxTries == 2);
-  const auto* b = config->snapshot->Get<config::RouteEntry>(
+  const auto* b = config->Get<config::RouteEntry>(
     config::EntryKind::kRoute, "r-b");
   REQUIRE(b);
   CHECK(b->callClass == config::CallClass::kAtMostOnce);
-  CHECK(config->limits.bodyBytes == 1000);
-  CHECK(config->limits.idleTimeout == Milliseconds(15'500));
+  CHECK(config->callerLimits.bodyBytes == 1000);
+  CHECK(config->callerLimits.idleTimeout == Milliseconds(15'500));
 }
 
 TEST_CASE("a request class that is not known is never repeated", "[platform]")
@@ -90,8 +90,8 @@
   std::string reason;
   const auto config =
     DecodeConfig(Replaced(kConfig, "\"safe\"", "\"other\""), reason);
-  REQUIRE(config.has_value());
-  CHECK(config->snapshot
+  REQUIRE(config);
+  CHECK(config
           ->Get<config::RouteEntry>(config::EntryKind::kRoute, "r-a")
           ->callClass == config::CallClass::kAtMostOnce);
 }
@@ -107,7 +107,7 @@
          { "\"weight\": 90", "\"weight\": \"90\"" },
          { "\"routes\": {", "\"routes\": [" } }) {
     reason.clear();
-    CHECK_FALSE(DecodeConfig(Replaced(kConfig, from, to), reason).has_value());
+    CHECK_FALSE(DecodeConfig(Replaced(kConfig, from, to), reason));
     CHECK_FALSE(reason.empty());
   }
   std::mt19937_64 random(5);
