--- a/include/knapweedpaddle/backends/CallOwner.h
+++ b/include/knapweedpaddle/backends/CallOwner.h
@@ -110,7 +110,8 @@
   /** Number of calls not answered yet. */
   std::size_t InFlight() const;
 
-  ServerLoad Load() const;
+  /** Returns the server's load as a call of a route finds it. */
+  ServerLoad Load(const std::string& aRoute) const;
 
   const EvidenceTable& Evidence() const;
 
--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -36,6 +36,7 @@
   Milliseconds target{ 0 };   ///< in which an answer is wanted; 0: none
   Timestamp targetAt{};       ///< when that time ends; earlier ones go first
   std::string route;
+  double serviceMs = 0; ///< expected time at the backend server
 };
 
 /**
--- a/include/knapweedpaddle/routing/Picker.h
+++ b/include/knapweedpaddle/routing/Picker.h
@@ -18,7 +18,7 @@
     0.5; ///< with more than this share ejected, ejection is ignored
   /** Cost of leaving the own zone, the greater of two. */
   double zonePenalty = 0.25;       ///< in service times
-  double zonePenaltyTarget = 0.35; ///< in target times
+  double zonePenaltyTarget = 0.3; ///< in target times
   Milliseconds unknownService{ 50 }; ///< assumed until a node reported
   Milliseconds loadHalfLife{ 400 };  ///< by which others' calls are forgotten
   std::size_t sampled = 8;           ///< candidates compared for one call
@@ -31,6 +31,7 @@
   std::string version;                  ///< a VersionSelector
   std::string zone;                     ///< the picking node's own
   std::vector<nodes::NodeId> excluding; ///< already tried for this call
+  std::string route{};
   Milliseconds target{ 0 }; ///< in which an answer is wanted
 };
 
@@ -62,8 +63,9 @@
    */
   void Finish(nodes::NodeId aNode, bool aReached, Timestamp aNow);
 
-  /** Takes over the load that a node reported with an answer. */
+  /** Takes over the load that a node reported with an answer on a route. */
   void ReportLoad(nodes::NodeId aNode,
+                  const std::string& aRoute,
                   const backends::ServerLoad& aLoad,
                   Timestamp aNow);
 
@@ -79,6 +81,7 @@
   {
     std::uint32_t outstanding = 0;
     backends::ServerLoad load;
+    std::unordered_map<std::string, double> routeMs;
     std::uint32_t outstandingAtReport = 0;
     Timestamp reportedAt;
     std::uint32_t failures = 0;
@@ -91,11 +94,13 @@
   bool IsUsable(const Target& aTarget, Timestamp aNow) const;
   Candidates WithoutEjected(const Candidates& aAll, Timestamp aNow) const;
   void Sample(Candidates& aCandidates, const std::string& aZone);
+  double ServiceMs(const State& aState, const std::string& aRoute) const;
   double OthersCalls(const State& aState, Timestamp aNow) const;
 
   PickerOptions mOptions;
   std::mt19937_64 mRandom;
   std::unordered_map<std::uint64_t, State> mStates;
+  std::unordered_map<std::string, double> mRouteMs; ///< over all nodes
 };
 
 } // namespace knapweedpaddle::routing
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -25,6 +25,7 @@
 constexpr int kFirstServerError = 500;
 constexpr int kMisdirected = 421;
 constexpr double kFailureWeight = 0.05; ///< of one call in the moving average
+constexpr double kRouteWeight = 0.1; ///< of one call in a route's average
 constexpr double kPercent = 100;
 
 CallResult
@@ -61,11 +62,6 @@
                OnGranted(aId, aRefusal);
              })
   {
-    mServices.loop.RunEvery(kExpireEvery, [this] {
-      if (mSlots.Queued() > 0) {
-        mSlots.Expire(Now());
-      }
-    });
   }
 
   void SetBackend(std::optional<BackendServer> aBackend)
@@ -112,13 +108,14 @@
 
   std::size_t InFlight() const { return mRunning.size(); }
 
-  ServerLoad Load() const
+  ServerLoad Load(const std::string& aRoute) const
   {
     const bool takesCalls = mBackend && Now() >= mDownUntil;
     return { mSlots.Busy(),
              static_cast<std::uint32_t>(mSlots.Queued()),
              takesCalls ? mSlots.Slots() : 0,
              static_cast<std::uint32_t>(std::lround(mSlots.ServiceMs())),
+             static_cast<std::uint32_t>(std::lround(RouteMs(aRoute))),
              static_cast<std::uint32_t>(std::lround(mFailed * kPercent)) };
   }
 
@@ -134,6 +131,12 @@
     return options;
   }
 
+  double RouteMs(const std::string& aRoute) const
+  {
+    const auto it = mRouteMs.find(aRoute);
+    return it == mRouteMs.end() ? mSlots.ServiceMs() : it->second;
+  }
+
   void Admit(RunId aRun)
   {
     const auto it = mRunning.find(aRun);
@@ -167,7 +170,8 @@
                    call.priority,
                    call.slowAfter,
                    call.targetAt,
-                   call.route },
+                   call.route,
+                   RouteMs(call.route) },
       Now(),
       refusal);
     if (!answer) {
@@ -176,9 +180,26 @@
     }
     if (*answer == SlotQueue::Answer::kTaken) {
       OnSlot(aRun);
+    } else {
+      ScheduleExpiry();
     }
   }
 
+  /** Looks after waiting calls only while there are some. */
+  void ScheduleExpiry()
+  {
+    if (mExpiryTimer != 0) {
+      return;
+    }
+    mExpiryTimer = mServices.loop.RunAfter(kExpireEvery, [this] {
+      mExpiryTimer = 0;
+      mSlots.Expire(Now());
+      if (mSlots.Queued() > 0) {
+        ScheduleExpiry();
+      }
+    });
+  }
+
   void OnGranted(RunId aRun, std::optional<SlotRefusal> aRefusal)
   {
     if (aRefusal) {
@@ -377,6 +398,10 @@
     sums.failures += aSucceeded ? 0 : 1;
     sums.slow += aElapsed > aCall.slowAfter ? 1 : 0;
     mFailed += kFailureWeight * ((aSucceeded ? 0 : 1) - mFailed);
+    const double elapsedMs =
+      std::chrono::duration<double, std::milli>(aElapsed).count();
+    const auto [it, isNew] = mRouteMs.try_emplace(aCall.route, elapsedMs);
+    it->second += kRouteWeight * (elapsedMs - it->second);
   }
 
   /** Later, so that the callback never runs from inside Run(). */
@@ -417,7 +442,9 @@
   RunId mLastRun = 0;
   std::unordered_map<RunId, Running> mRunning;
   EvidenceTable mEvidence;
+  EventLoop::TimerId mExpiryTimer = 0;
   Timestamp mDownUntil{};
+  std::unordered_map<std::string, double> mRouteMs; ///< moving averages
   double mFailed = 0; ///< moving average of the share of failed calls
 };
 
@@ -459,9 +486,9 @@
 }
 
 ServerLoad
-CallOwner::Load() const
+CallOwner::Load(const std::string& aRoute) const
 {
-  return mImpl->Load();
+  return mImpl->Load(aRoute);
 }
 
 const EvidenceTable&
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -164,8 +164,9 @@
 SlotQueue::LongestWait(const SlotRequest& aRequest, Timestamp aNow) const
 {
   const auto target = static_cast<double>(aRequest.target.count());
-  const double wait = std::max((target - mServiceMs * kServiceMargin) * kWaitPart,
-                               target * kLeastWaitPart);
+  const double service = aRequest.serviceMs * kServiceMargin;
+  const double wait =
+    std::max((target - service) * kWaitPart, target * kLeastWaitPart);
   const double factor =
     mBalance.WaitFactor(aRequest.route, aRequest.priority, aNow);
   return Milliseconds(static_cast<std::int64_t>(wait * factor));
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -253,6 +253,7 @@
              aVersion,
              mIdentity.zone,
              aCall.tried,
+             aCall.route.header.name,
              aCall.route.slowAfter };
   }
 
@@ -297,7 +298,9 @@
     if (next.isLocal) {
       next.request = mServices.owner.Run(
         std::move(owned), [this, aCall, id](CallResult aResult) {
-          mPicker.ReportLoad(mIdentity.node, mServices.owner.Load(), Now());
+          const std::string& route = aCall->route.header.name;
+          mPicker.ReportLoad(
+            mIdentity.node, route, mServices.owner.Load(route), Now());
           OnResult(aCall, id, std::move(aResult));
         });
     } else {
@@ -362,7 +365,8 @@
     }
     for (const auto& it : aCall->active) {
       if (it.id == aTry) {
-        mPicker.ReportLoad(it.node, decoded->load, Now());
+        mPicker.ReportLoad(
+          it.node, aCall->route.header.name, decoded->load, Now());
       }
     }
     OnResult(aCall, aTry, std::move(decoded->result));
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Milliseconds kTick{ 50 };
+constexpr Milliseconds kTick{ 100 };
 constexpr Milliseconds kLongestGap{ 2000 };
 constexpr Milliseconds kStaleGap{ 250 };
 constexpr Milliseconds kEvidenceEvery{ 500 };
@@ -186,9 +186,10 @@
   call->trace = mServices.tracer.Child(parent);
   const auto span = call->trace;
   const std::int64_t startWall = WallMicroseconds();
+  const std::string route = call->route;
   const auto run = mOwner.Run(
     std::move(*call),
-    [this, aResponder, parent, span, now, startWall](
+    [this, aResponder, parent, span, now, startWall, route](
       const callers::CallResult& aResult) {
       if (span.sampled) {
         const auto elapsed = std::chrono::duration_cast<Microseconds>(
@@ -202,7 +203,7 @@
             elapsed.count(),
             std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) });
       }
-      aResponder->Respond(nodes::EncodeCallResult(aResult, mOwner.Load()));
+      aResponder->Respond(nodes::EncodeCallResult(aResult, mOwner.Load(route)));
     });
   aResponder->OnCancel([this, run] { mOwner.Cancel(run); });
 }
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -64,7 +64,7 @@
   return out;
 }
 
-/** "busy,queued,slots,service ms,failed percent". */
+/** "busy,queued,slots,service ms,route ms,failed percent". */
 std::string
 EncodeLoad(const backends::ServerLoad& aLoad)
 {
@@ -73,6 +73,7 @@
                                   aLoad.queued,
                                   aLoad.slots,
                                   aLoad.serviceMs,
+                                  aLoad.routeMs,
                                   aLoad.failedPercent }) {
     text += (text.empty() ? "" : ",") + std::to_string(it);
   }
@@ -82,7 +83,7 @@
 std::optional<backends::ServerLoad>
 DecodeLoad(const std::string& aText)
 {
-  std::array<std::uint32_t, 5> values{};
+  std::array<std::uint32_t, 6> values{};
   const char* at = aText.data();
   const char* last = aText.data() + aText.size();
   for (std::size_t n = 0; n < values.size(); ++n) {
@@ -94,7 +95,7 @@
     at = ends ? end : end + 1;
   }
   return backends::ServerLoad{
-    values[0], values[1], values[2], values[3], values[4]
+    values[0], values[1], values[2], values[3], values[4], values[5]
   };
 }
 
--- a/src/routing/Picker.cpp
+++ b/src/routing/Picker.cpp
@@ -12,6 +12,7 @@
 constexpr double kTieNoise = 0.05; ///< spreads calls over equal candidates
 constexpr double kCrowdingWeight = 0.5; ///< slowdown of a full server
 constexpr double kFailureWeight = 4;    ///< cost of a failure, in service times
+constexpr double kRouteWeight = 0.05; ///< of one report in a route's average
 constexpr double kPercent = 100;
 
 } // namespace
@@ -84,6 +85,7 @@
 
 void
 Picker::ReportLoad(nodes::NodeId aNode,
+                   const std::string& aRoute,
                    const backends::ServerLoad& aLoad,
                    Timestamp aNow)
 {
@@ -91,6 +93,25 @@
   state.load = aLoad;
   state.outstandingAtReport = state.outstanding;
   state.reportedAt = aNow;
+  if (aLoad.routeMs > 0) {
+    state.routeMs[aRoute] = aLoad.routeMs;
+    const auto [it, isNew] = mRouteMs.try_emplace(aRoute, aLoad.routeMs);
+    it->second += kRouteWeight * (aLoad.routeMs - it->second);
+  }
+}
+
+double
+Picker::ServiceMs(const State& aState, const std::string& aRoute) const
+{
+  if (const auto own = aState.routeMs.find(aRoute);
+      own != aState.routeMs.end()) {
+    return own->second;
+  }
+  // What is not known of this node is taken from the others.
+  const auto all = mRouteMs.find(aRoute);
+  return all == mRouteMs.end()
+           ? static_cast<double>(mOptions.unknownService.count())
+           : all->second;
 }
 
 bool
@@ -123,12 +144,10 @@
   const State& state = it == mStates.end() ? kUnknown : it->second;
   const double slots = std::max(aTarget.slots, 1U);
   const double calls = state.outstanding + OthersCalls(state, aNow);
-  const double service =
-    state.load.serviceMs > 0
-      ? state.load.serviceMs
-      : static_cast<double>(mOptions.unknownService.count());
+  const double service = ServiceMs(state, aQuery.route);
+  const double turn = state.load.serviceMs > 0 ? state.load.serviceMs : service;
   const double crowding = 1 + kCrowdingWeight * std::min(1.0, calls / slots);
-  const double wait = service * std::max(0.0, calls + 1 - slots) / slots;
+  const double wait = turn * std::max(0.0, calls + 1 - slots) / slots;
   const double failures =
     1 + kFailureWeight * state.load.failedPercent / kPercent;
   const double away =
--- a/tests/backends/SlotQueueTest.cpp
+++ b/tests/backends/SlotQueueTest.cpp
@@ -127,6 +127,7 @@
   SlotRequest request;
   request.id = 3;
   request.deadline = kLater;
+  request.serviceMs = 100;
   request.target = Milliseconds(150);
   CHECK_FALSE(it.queue.Request(request, kNow, it.refusal).has_value());
   CHECK(it.refusal == SlotRefusal::kWaitTooLong);
@@ -203,6 +204,7 @@
     request.target = Milliseconds(route.targetMs);
     request.targetAt = now + request.target;
     request.route = route.name;
+    request.serviceMs = 100;
     const auto answer = queue.Request(request, now, refusal);
     ++route.offered;
     route.admitted += answer ? 1 : 0;
--- a/tests/nodes/LinkTest.cpp
+++ b/tests/nodes/LinkTest.cpp
@@ -234,7 +234,7 @@
   result.status = 200;
   result.callId = "call-1";
   result.body = "ring";
-  const backends::ServerLoad load{ 3, 2, 12, 40, 5 };
+  const backends::ServerLoad load{ 3, 2, 12, 40, 35, 5 };
   const LinkResponse response = EncodeCallResult(result, load);
   CHECK(DecodeCallResult(response, "call-1")->load == load);
   CHECK_FALSE(DecodeCallResult(response, "call-2").has_value());
--- a/tests/routing/RoutingTest.cpp
+++ b/tests/routing/RoutingTest.cpp
@@ -34,6 +34,7 @@
   load.busy = 10;
   load.slots = 10;
   load.serviceMs = 50;
+  load.routeMs = 50;
   return load;
 }
 
@@ -42,7 +43,7 @@
 {
   std::size_t local = 0;
   for (std::size_t n = 0; n < aTries; ++n) {
-    const Target* it = aPicker.Pick(aView, { "svc", "v1", "here", {} }, kNow);
+    const Target* it = aPicker.Pick(aView, { "svc", "v1", "here", {}, "r", {} }, kNow);
     local += it && it->zone == "here" ? 1 : 0;
   }
   return local;
@@ -55,8 +56,8 @@
   Picker picker(PickerOptions{}, 1);
   const RoutingView view = ViewOf(2, 4);
   CHECK(LocalPicks(picker, view, 100) == 100);
-  picker.ReportLoad(nodes::NodeId{ 1 }, FullLoad(), kNow);
-  picker.ReportLoad(nodes::NodeId{ 2 }, FullLoad(), kNow);
+  picker.ReportLoad(nodes::NodeId{ 1 }, "r", FullLoad(), kNow);
+  picker.ReportLoad(nodes::NodeId{ 2 }, "r", FullLoad(), kNow);
   CHECK(LocalPicks(picker, view, 100) < 30);
 }
 
@@ -73,13 +74,13 @@
   fail(1);
   CHECK(picker.IsEjected(nodes::NodeId{ 1 }, kNow));
   for (int n = 0; n < 50; ++n) {
-    CHECK(picker.Pick(view, { "svc", "v1", "here", {} }, kNow)->node !=
+    CHECK(picker.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)->node !=
           nodes::NodeId{ 1 });
   }
   fail(2);
   std::map<nodes::NodeId, int> picks;
   for (int n = 0; n < 200; ++n) {
-    ++picks[picker.Pick(view, { "svc", "v1", "here", {} }, kNow)->node];
+    ++picks[picker.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)->node];
   }
   CHECK(picks.size() == 3);
   CHECK_FALSE(
@@ -175,13 +176,14 @@
       load.busy = aBusy;
       load.slots = 10;
       load.serviceMs = aMs;
-      picker.ReportLoad(nodes::NodeId{ aNode }, load, kNow);
+      load.routeMs = aMs;
+      picker.ReportLoad(nodes::NodeId{ aNode }, "r", load, kNow);
     };
   report(1, 2, 150);
   report(2, 2, 60);
   report(3, 10, 60);
   const auto pick = [&] {
-    return picker.Pick(view, { "svc", "v1", "here", {}, {} }, kNow)->node;
+    return picker.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)->node;
   };
   CHECK(pick() == nodes::NodeId{ 2 });
   for (int n = 0; n < 20; ++n) {
@@ -197,11 +199,12 @@
   backends::ServerLoad load;
   load.slots = 10;
   load.serviceMs = 50;
-  picker.ReportLoad(nodes::NodeId{ 1 }, load, kNow);
+  load.routeMs = 50;
+  picker.ReportLoad(nodes::NodeId{ 1 }, "r", load, kNow);
   load.failedPercent = 40;
-  picker.ReportLoad(nodes::NodeId{ 2 }, load, kNow);
+  picker.ReportLoad(nodes::NodeId{ 2 }, "r", load, kNow);
   for (int n = 0; n < 50; ++n) {
-    CHECK(picker.Pick(view, { "svc", "v1", "here", {}, {} }, kNow)->node ==
+    CHECK(picker.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)->node ==
           nodes::NodeId{ 1 });
   }
 }
@@ -228,3 +231,33 @@
   CHECK_FALSE(policy.Refuse(refused, kNow).has_value());
   CHECK(policy.Refuse(refused, kNow) == RetryRefusal::kBudgetSpent);
 }
+
+TEST_CASE("a slow server nearby is good enough for a short route", "[routing]")
+{
+  Picker picker(PickerOptions{}, 1);
+  const RoutingView view = ViewOf(1, 1);
+  const auto report = [&picker](std::uint64_t aNode,
+                                const std::string& aRoute,
+                                std::uint32_t aRouteMs,
+                                std::uint32_t aMs) {
+    backends::ServerLoad load;
+    load.slots = 10;
+    load.serviceMs = aMs;
+    load.routeMs = aRouteMs;
+    picker.ReportLoad(nodes::NodeId{ aNode }, aRoute, load, kNow);
+  };
+  report(1, "short", 44, 160);
+  report(1, "long", 400, 160);
+  report(2, "short", 15, 60);
+  report(2, "long", 100, 60);
+  const auto pick = [&](const std::string& aRoute, int aTargetMs) {
+    return picker
+      .Pick(
+        view,
+        { "svc", "v1", "here", {}, aRoute, Milliseconds(aTargetMs) },
+        kNow)
+      ->node;
+  };
+  CHECK(pick("short", 100) == nodes::NodeId{ 1 });
+  CHECK(pick("long", 400) == nodes::NodeId{ 2 });
+}
