Log calls that fail within a budget that never blocks; settle members after herds

Cause of a finding of the new fleet test: after a start of all nodes with a slow store some knew 9 of 12 members for seconds, as the first peers asked knew few. Three rounds with peers of the own zone follow.

--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -65,6 +65,7 @@
   void ReadRows();
   void Sync();
   void WriteRow();
+  std::vector<std::string> ZoneAddresses() const;
   void JoinSome(std::vector<std::string> aAddresses);
   void OnRoundEnd();
 
@@ -76,6 +77,7 @@
   Timestamp mNextSync;
   nodes::NodeId mSyncPeer = nodes::kNoNode; ///< whom to ask for its whole table
   std::uint32_t mOutstanding = 0;
+  std::uint32_t mRoundsLeft = 0; ///< of asking peers once settled
   bool mRoundAnswered = false;
   bool mRowWritten = false;
   bool mRetryPending = false;
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -2,6 +2,8 @@
 
 #include "knapweedpaddle/http/Client.h"
 #include "knapweedpaddle/routing/VersionSelector.h"
+#include "knapweedpaddle/telemetry/Log.h"
+#include "knapweedpaddle/telemetry/LogBudget.h"
 
 #include <cmath>
 
@@ -22,6 +24,8 @@
 constexpr Milliseconds kMaxIdleOnce{ 250 };
 /** How long calls are refused after a connection was. */
 constexpr Milliseconds kDownTime{ 200 };
+constexpr double kLogLinesPerSecond = 20;
+constexpr double kLogBurst = 100;
 constexpr int kFirstServerError = 500;
 constexpr int kMisdirected = 421;
 constexpr double kFailureWeight = 0.05; ///< of one call in the moving average
@@ -428,6 +432,7 @@
                        : std::nullopt,
                      now);
     }
+    LogRun(running, aResult);
     mServices.metrics.Count(
       "owner_calls_total",
       { { "outcome",
@@ -435,6 +440,39 @@
     running.callback(std::move(aResult));
   }
 
+  /** One line for a call that the backend server did not answer well. */
+  void LogRun(const Running& aRunning, const CallResult& aResult)
+  {
+    const bool plain = aResult.outcome == CallOutcome::kAnswered &&
+                       aResult.status < kFirstServerError;
+    const Timestamp now = Now();
+    if (plain || !mLogBudget.Take(now)) {
+      return;
+    }
+    const OwnedCall& call = aRunning.call;
+    const std::string* id =
+      http::FindHeader(call.headers, mServices.dialect.callId);
+    const auto ran = aRunning.dispatched
+                       ? std::chrono::duration_cast<Milliseconds>(
+                           now - aRunning.sentAt)
+                       : Milliseconds(0);
+    LogEvent(telemetry::LogCategory::kBackend,
+             telemetry::LogLevel::kInfo,
+             "run",
+             { { "id", id ? *id : "" },
+               { "call", call.callId },
+               { "server", mBackend ? mBackend->id : "" },
+               { "outcome", std::string(NameOf(callers::kCallOutcomeNames,
+                                               aResult.outcome)) },
+               { "status", std::to_string(aResult.status) },
+               { "ms", std::to_string(ran.count()) },
+               { "busy", std::to_string(mSlots.Busy()) },
+               { "queued", std::to_string(mSlots.Queued()) },
+               { "slots", std::to_string(mSlots.Slots()) },
+               { "left_out", std::to_string(mLogBudget.TakeLeftOut()) },
+               { "reason", aResult.reason } });
+  }
+
   Services mServices;
   http::Client mHttp;
   SlotQueue mSlots;
@@ -442,6 +480,7 @@
   RunId mLastRun = 0;
   std::unordered_map<RunId, Running> mRunning;
   EvidenceTable mEvidence;
+  telemetry::LogBudget mLogBudget{ kLogLinesPerSecond, kLogBurst };
   EventLoop::TimerId mExpiryTimer = 0;
   Timestamp mDownUntil{};
   std::unordered_map<std::string, double> mRouteMs; ///< moving averages
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -4,6 +4,8 @@
 #include "knapweedpaddle/routing/Picker.h"
 #include "knapweedpaddle/routing/RetryPolicy.h"
 #include "knapweedpaddle/routing/ShareSequence.h"
+#include "knapweedpaddle/telemetry/Log.h"
+#include "knapweedpaddle/telemetry/LogBudget.h"
 
 #include <algorithm>
 #include <array>
@@ -27,6 +29,8 @@
 constexpr Milliseconds kRetryAfter{ 200 }; ///< told to refused callers
 constexpr std::uint32_t kMaxRedirects = 4; ///< by owners, for one call
 constexpr std::uint32_t kNoLimit = 0xffffffff;
+constexpr double kLogLinesPerSecond = 20;
+constexpr double kLogBurst = 100;
 constexpr int kFirstServerError = 500;
 constexpr int kGatewayTimeout = 504;
 
@@ -551,6 +555,7 @@
     Close(aCall);
     const auto elapsed = Now() - aCall->received;
     const std::string outcome(NameOf(kCallOutcomeNames, aResult.outcome));
+    LogCall(*aCall, aResult, elapsed);
     mServices.metrics.Count(
       "calls_total",
       { { "outcome", outcome }, { "route", aCall->route.header.name } });
@@ -570,6 +575,42 @@
     aCall->callback(std::move(aResult));
   }
 
+  /** One line for a call that failed, was tried again or was slow. */
+  void LogCall(const Call& aCall,
+               const CallResult& aResult,
+               std::chrono::nanoseconds aElapsed)
+  {
+    const bool plain = aResult.outcome == CallOutcome::kAnswered &&
+                       aResult.status < kFirstServerError &&
+                       aCall.sendings == 1 &&
+                       aElapsed <= aCall.route.slowAfter;
+    const Timestamp now = Now();
+    if (plain || !mLogBudget.Take(now)) {
+      return;
+    }
+    std::string steps;
+    for (const auto& it : aCall.steps) {
+      steps += (steps.empty() ? "" : "; ") + it;
+    }
+    const auto milliseconds =
+      std::chrono::duration_cast<Milliseconds>(aElapsed).count();
+    const auto left =
+      std::chrono::duration_cast<Milliseconds>(aCall.deadline - now).count();
+    LogEvent(telemetry::LogCategory::kCalls,
+             telemetry::LogLevel::kInfo,
+             "call",
+             { { "id", aCall.request.callId },
+               { "call", aCall.id },
+               { "route", aCall.route.header.name },
+               { "outcome", std::string(NameOf(kCallOutcomeNames,
+                                               aResult.outcome)) },
+               { "status", std::to_string(aResult.status) },
+               { "ms", std::to_string(milliseconds) },
+               { "left_ms", std::to_string(left) },
+               { "left_out", std::to_string(mLogBudget.TakeLeftOut()) },
+               { "steps", steps } });
+  }
+
   struct Limit
   {
     std::uint64_t revision = 0;
@@ -584,6 +625,7 @@
   std::unordered_map<std::string, routing::RetryPolicy> mRetries; ///< by service
   std::unordered_map<std::string, Limit> mLimits;
   std::unordered_map<std::string, routing::ShareSequence> mDraws; ///< by name
+  telemetry::LogBudget mLogBudget{ kLogLinesPerSecond, kLogBurst };
   std::size_t mInFlight = 0;
   bool mDraining = false;
   bool mClosed = false;
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t kPeersAsked = 3;
 constexpr Milliseconds kFirstRetry{ 500 };
 constexpr Milliseconds kLongestRetry{ 8000 };
+/** After a herd of starts the first peers asked know few others, so that some of
+ * the own zone are asked again. */
+constexpr std::uint32_t kSettleRounds = 3;
+constexpr Milliseconds kSettleDelay{ 400 };
 constexpr Milliseconds kSyncEvery{ 300'000 };
 constexpr std::int64_t kSyncSpreadPerMemberMs =
   100; ///< bounds the bytes of many syncs
@@ -44,6 +48,7 @@
 MemberAgent::Bootstrap()
 {
   mBackoff.Reset();
+  mRoundsLeft = kSettleRounds;
   ReadRows();
   WriteRow();
 }
@@ -185,6 +190,19 @@
     });
 }
 
+std::vector<std::string>
+MemberAgent::ZoneAddresses() const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [id, member] : mMembers.Members()) {
+    if (member.liveness == Liveness::kAlive &&
+        member.record.zone == mMembers.Self().zone) {
+      addresses.push_back(LinkAddress(member.record));
+    }
+  }
+  return addresses;
+}
+
 void
 MemberAgent::JoinSome(std::vector<std::string> aAddresses)
 {
@@ -222,6 +240,12 @@
 {
   mServices.onPeersAsked();
   const bool settled = mRoundAnswered && mRowWritten && mServices.isServing();
+  if (settled && mRoundsLeft > 0) {
+    --mRoundsLeft;
+    mServices.scheduler.RunAfter(kSettleDelay,
+                                 [this] { JoinSome(ZoneAddresses()); });
+    return;
+  }
   if (settled || mRetryPending) {
     return;
   }
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -1,6 +1,9 @@
 #include "knapweedpaddle/telemetry/Log.h"
 
+#include "LogSink.h"
+
 #include <easylogging++.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -33,11 +36,33 @@
   [](const std::string& aLine) { LOG(ERROR) << aLine; },
 };
 
+LogSink&
+StandardOutput()
+{
+  static LogSink sink(STDOUT_FILENO);
+  return sink;
+}
+
+/** Takes lines from the library, whose own output would wait for the reader. */
+class SinkCallback : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    const el::LogMessage* message = aData->logMessage();
+    StandardOutput().Write(
+      message->logger()->logBuilder()->build(message, false));
+  }
+};
+
 } // namespace
 
 void
 StartLog(LogLevel aLevel)
 {
+  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+    "DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<SinkCallback>("SinkCallback");
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::Format,
--- /dev/null
+++ b/tests/fakes/FakeFleet.cpp
@@ -0,0 +1,362 @@
+#include "FakeFleet.h"
+
+#include <nlohmann/json.hpp>
+
+namespace knapweedpaddle::fakes {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint16_t kPort = 7100;
+constexpr std::uint64_t kFirstAddress = 0x0a000001; ///< used by no socket
+constexpr Milliseconds kLatency{ 2 };
+constexpr Milliseconds kPeerTimeout{ 1500 };
+constexpr Milliseconds kCallStep{ 250 };
+constexpr std::uint64_t kCallsPerStep = 60;
+
+} // namespace
+
+/** Timers of one life of a node. */
+class FleetScheduler : public runtime::Scheduler
+{
+public:
+  FleetScheduler(FakeClock& aClock, FakeFleet::NodeState& aNode)
+    : mClock(aClock)
+    , mNode(aNode)
+    , mLife(aNode.life)
+  {
+  }
+
+  Timestamp Now() const override { return mClock.Now(); }
+  WallMilliseconds Wall() const override { return mClock.Wall(); }
+
+  TimerId RunAfter(Milliseconds aDelay, Task aTask) override
+  {
+    return mClock.At(mClock.Now() + aDelay, [this, task = std::move(aTask)] {
+      if (mNode.life == mLife) {
+        task();
+      }
+    });
+  }
+
+  void Cancel(TimerId aTimer) override { mClock.Cancel(aTimer); }
+
+private:
+  FakeClock& mClock;
+  FakeFleet::NodeState& mNode;
+  std::uint64_t mLife;
+};
+
+/** Streams between nodes. */
+class FleetPeers : public nodes::PeerClient
+{
+public:
+  FleetPeers(FakeFleet& aFleet, FakeFleet::NodeState& aSelf)
+    : mFleet(aFleet)
+    , mSelf(aSelf)
+  {
+  }
+
+  void Join(const std::string& aAddress,
+            const nodes::MemberUpdate& aSelf,
+            JoinCallback aCallback) override
+  {
+    Ask<nodes::JoinAnswer>(
+      aAddress,
+      [aSelf](node::FleetCore& aCore) { return aCore.OnJoin(aSelf); },
+      std::move(aCallback));
+  }
+
+  void Pull(const std::string& aAddress,
+            std::uint64_t aFrom,
+            PullCallback aCallback) override
+  {
+    Ask<nodes::PullAnswer>(
+      aAddress,
+      [aFrom](node::FleetCore& aCore) { return aCore.OnPull(aFrom); },
+      std::move(aCallback));
+  }
+
+  void Report(const std::string& aAddress,
+              const moves::EvidenceReport& aReport) override
+  {
+    Ask<bool>(
+      aAddress,
+      [aReport](node::FleetCore& aCore) {
+        aCore.OnReport(aReport);
+        return true;
+      },
+      [](std::optional<bool>) {});
+  }
+
+private:
+  template<typename T, typename Work, typename Callback>
+  void Ask(const std::string& aAddress, Work aWork, Callback aCallback)
+  {
+    const auto answered = std::make_shared<bool>(false);
+    mFleet.Deliver(mSelf, kPeerTimeout, [answered, aCallback] {
+      if (!std::exchange(*answered, true)) {
+        aCallback(std::nullopt);
+      }
+    });
+    FakeFleet::NodeState* peer = mFleet.Find(aAddress);
+    if (!peer || peer->life == 0 || peer->cutFromPeers || mSelf.cutFromPeers) {
+      return;
+    }
+    mFleet.Deliver(*peer, kLatency, [this, peer, aWork, answered, aCallback] {
+      const T result = aWork(*peer->core);
+      if (peer->cutFromPeers || mSelf.cutFromPeers) {
+        return;
+      }
+      mFleet.Deliver(mSelf, kLatency, [answered, aCallback, result] {
+        if (!std::exchange(*answered, true)) {
+          aCallback(result);
+        }
+      });
+    });
+  }
+
+  FakeFleet& mFleet;
+  FakeFleet::NodeState& mSelf;
+};
+
+FakeFleet::FakeFleet(std::uint64_t aSeed)
+  : mRandom(aSeed)
+{
+  MakeCalls();
+}
+
+FakeFleet::~FakeFleet() = default;
+
+FakeFleet::NodeState&
+FakeFleet::Add(const std::string& aZone,
+               const std::string& aService,
+               const std::string& aVersion)
+{
+  NodeState& node = nodes.emplace_back();
+  const std::uint64_t address = kFirstAddress + nodes.size();
+  node.id = nodes::NodeId{ address << 16 | kPort };
+  node.settings.zone = aZone;
+  node.settings.service = aService;
+  node.settings.backendAddress = AddressWithPort(node.id, kPort + 1);
+  node.version = aVersion;
+  return node;
+}
+
+void
+FakeFleet::Start(NodeState& aNode)
+{
+  if (aNode.core) {
+    Kill(aNode);
+    NodeState& old = mEnded.emplace_back();
+    old.scheduler = std::move(aNode.scheduler);
+    old.store = std::move(aNode.store);
+    old.desk = std::move(aNode.desk);
+    old.peers = std::move(aNode.peers);
+    old.core = std::move(aNode.core);
+  }
+  aNode.life = static_cast<std::uint64_t>(clock.Wall());
+  aNode.view.reset();
+  aNode.configVersion = 0;
+  aNode.evidence.clear();
+  aNode.scheduler = std::make_unique<FleetScheduler>(clock, aNode);
+  aNode.store = std::make_unique<FakePlatform>(clock, shared, mRandom());
+  aNode.store->SetPlan([&aNode](bool) { return aNode.storeFault; });
+  aNode.desk = std::make_unique<platform::OperatorRows>(*aNode.store);
+  aNode.peers = std::make_unique<FleetPeers>(*this, aNode);
+  nodes::MemberRecord self;
+  self.node = aNode.id;
+  self.linkPort = kPort;
+  self.zone = aNode.settings.zone;
+  self.incarnation = aNode.life;
+  aNode.core = std::make_unique<node::FleetCore>(
+    node::FleetCore::Services{
+      *aNode.scheduler,
+      *aNode.store,
+      *aNode.desk,
+      *aNode.peers,
+      [this, &aNode](const nodes::Datagram& aDatagram) {
+        Send(aNode, aDatagram);
+      },
+      [this, &aNode](routing::RoutingViewPtr aView) {
+        fellBack |= aView->config->version < aNode.configVersion;
+        aNode.configVersion = aView->config->version;
+        aNode.view = std::move(aView);
+      },
+      [](const config::CallerLimits&) {},
+      [](const std::optional<backends::BackendServer>&,
+         const std::function<void()>& aDone) {
+        if (aDone) {
+          aDone();
+        }
+      },
+      [](const std::string&, const std::string&) {},
+    },
+    aNode.settings,
+    self,
+    mRandom());
+  aNode.core->Start();
+  Report(aNode);
+}
+
+void
+FakeFleet::StartAll()
+{
+  for (auto& it : nodes) {
+    Start(it);
+  }
+}
+
+void
+FakeFleet::Kill(NodeState& aNode)
+{
+  aNode.life = 0;
+  aNode.view.reset();
+  aNode.store->Kill();
+}
+
+void
+FakeFleet::Report(NodeState& aNode)
+{
+  backends::ServerReport report;
+  report.id = "i-" + ToString(aNode.id);
+  report.service = aNode.settings.service;
+  report.address = aNode.settings.backendAddress;
+  report.version = aNode.version;
+  report.slots = 12;
+  report.sequence = ++aNode.reports;
+  report.startedAtMs = 1;
+  aNode.core->OnServerReport(report, [] {});
+  Deliver(aNode, aNode.settings.reportInterval, [this, &aNode] {
+    Report(aNode);
+  });
+}
+
+void
+FakeFleet::WriteConfig(std::uint64_t aVersion)
+{
+  Json routes = Json::object();
+  for (int n = 0; n < 20; ++n) {
+    routes["r" + std::to_string(n)] = {
+      { "host", "h" + std::to_string(n) },
+      { "prefix", "/v" + std::to_string(n == 0 ? aVersion : 0) + "/" },
+      { "kind", "safe" },
+      { "timeout-s", 1 },
+      { "target-latency-s", 0.3 },
+      { "priority", 1 },
+      { "service", "svc" },
+      { "max-attempts", 2 }
+    };
+  }
+  const Json config{ { "version", "r" + std::to_string(aVersion) },
+                     { "routes", routes },
+                     { "services", { { "svc", Json::object() } } },
+                     { "limits", Json::object() } };
+  store::Transaction transaction;
+  transaction.writes.push_back({ "op/config", config.dump(), false });
+  shared.table.Commit(transaction);
+}
+
+void
+FakeFleet::OrderRollout(const std::string& aToVersion, Milliseconds aDuration)
+{
+  const Json order{ { "service", "svc" },
+                    { "to", aToVersion },
+                    { "duration-s",
+                      std::chrono::duration<double>(aDuration).count() } };
+  store::Transaction transaction;
+  transaction.writes.push_back({ "op/rollout/svc", order.dump(), false });
+  shared.table.Commit(transaction);
+}
+
+std::string
+FakeFleet::RolloutState() const
+{
+  const auto rows = shared.table.Read({ "status/rollout/svc" });
+  const Json json = Json::parse(rows.front().value, nullptr, false);
+  return json.is_object() ? json.value("state", "") : "";
+}
+
+bool
+FakeFleet::AllHold(std::uint64_t aVersion) const
+{
+  return std::ranges::all_of(nodes, [aVersion](const NodeState& aNode) {
+    return aNode.life == 0 || aNode.configVersion >= aVersion;
+  });
+}
+
+FakeFleet::NodeState*
+FakeFleet::Find(const std::string& aLinkAddress)
+{
+  const auto it =
+    std::ranges::find_if(nodes, [&aLinkAddress](const NodeState& aNode) {
+      return AddressWithPort(aNode.id, kPort) == aLinkAddress;
+    });
+  return it == nodes.end() ? nullptr : &*it;
+}
+
+void
+FakeFleet::Deliver(NodeState& aNode, Milliseconds aDelay, FakeClock::Task aTask)
+{
+  clock.At(clock.Now() + aDelay,
+           [&aNode, life = aNode.life, task = std::move(aTask)] {
+             if (life != 0 && aNode.life == life) {
+               task();
+             }
+           });
+}
+
+void
+FakeFleet::Send(NodeState& aFrom, const nodes::Datagram& aDatagram)
+{
+  NodeState* peer = Find(AddressWithPort(aDatagram.to, kPort));
+  const bool lost =
+    std::uniform_real_distribution<double>(0, 1)(mRandom) < loss;
+  if (!peer || lost || aFrom.cutFromPeers || peer->cutFromPeers) {
+    return;
+  }
+  Deliver(*peer, kLatency, [peer, message = aDatagram.message] {
+    peer->core->Receive(message);
+  });
+}
+
+void
+FakeFleet::MakeCalls()
+{
+  std::vector<NodeState*> running;
+  for (auto& it : nodes) {
+    if (it.life != 0 && it.view) {
+      running.push_back(&it);
+    }
+  }
+  for (std::uint64_t n = 0; !running.empty() && n < kCallsPerStep; ++n) {
+    const NodeState& ingress = *running[mRandom() % running.size()];
+    const double draw = std::uniform_real_distribution<double>(0, 1)(mRandom);
+    const auto versions = ingress.view->VersionsFor(
+      "svc", config::CallClass::kIdempotent, draw);
+    const bool isNew = !versions.empty() && versions.front() == "v2";
+    std::vector<NodeState*> owners;
+    std::ranges::copy_if(
+      running, std::back_inserter(owners), [isNew](const NodeState* aNode) {
+        return (aNode->version == "v2") == isNew;
+      });
+    if (owners.empty()) {
+      continue;
+    }
+    NodeState& owner = *owners[mRandom() % owners.size()];
+    const bool fails =
+      isNew && std::uniform_real_distribution<double>(0, 1)(mRandom) < badShare;
+    backends::EvidenceSums& sums = owner.evidence[{ owner.version, "r0" }];
+    ++sums.calls;
+    sums.failures += fails ? 1 : 0;
+    ++allCalls;
+    toNewVersion += isNew ? 1 : 0;
+  }
+  for (NodeState* it : running) {
+    it->core->TakeEvidence(it->evidence);
+  }
+  clock.At(clock.Now() + kCallStep, [this] { MakeCalls(); });
+}
+
+} // namespace knapweedpaddle::fakes
