Encode changes once and packed; calls that can't be repeated wait silent links out

Changes are now compressed and encoded once, routes indexed once a version; a link's silence no longer ends a call that can't go elsewhere.

--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "knapweedpaddle/common/Backoff.h"
+#include "knapweedpaddle/node/ConfigHistory.h"
 #include "knapweedpaddle/nodes/PeerClient.h"
 #include "knapweedpaddle/operators/OrderDesk.h"
 #include "knapweedpaddle/runtime/Scheduler.h"
 
-#include <deque>
-
 namespace knapweedpaddle::node {
 
 /**
@@ -50,7 +49,10 @@
   void OnPeerVersion(const std::string& aAddress, std::uint64_t aVersion);
 
   /** Answers a peer that is behind. */
-  nodes::PullAnswer MakePullAnswer(std::uint64_t aFrom) const;
+  nodes::PullAnswer MakePullAnswer(std::uint64_t aFrom)
+  {
+    return mHistory.AnswerFor(aFrom);
+  }
 
   bool HasConfig() const { return mConfig != nullptr; }
   std::uint64_t Version() const { return mConfig ? mConfig->version : 0; }
@@ -79,7 +81,7 @@
   Backoff mBackoff;
   config::SnapshotPtr mConfig;
   std::string mSource;
-  std::deque<config::Change> mHistory; ///< the latest changes, oldest first
+  ConfigHistory mHistory;
   std::uint64_t mRound = 0;            ///< outdates calls of earlier rounds
   bool mFollowing = false;
   bool mPulling = false;
--- a/include/knapweedpaddle/node/FleetCore.h
+++ b/include/knapweedpaddle/node/FleetCore.h
@@ -50,7 +50,7 @@
     return mMembers.OnJoin(aPeer);
   }
 
-  nodes::PullAnswer OnPull(std::uint64_t aFrom) const
+  nodes::PullAnswer OnPull(std::uint64_t aFrom)
   {
     return mConfig.MakePullAnswer(aFrom);
   }
@@ -98,6 +98,7 @@
   ConfigFollower mConfig;
   RolloutAgent mRollouts;
   backends::ServerLedger mServer;
+  routing::RouteTablePtr mRoutes; ///< of the configuration in force
   std::uint64_t mPublishedMembers = 0;
   bool mViewDirty = true;
   bool mLeaving = false;
--- a/include/knapweedpaddle/nodes/Link.h
+++ b/include/knapweedpaddle/nodes/Link.h
@@ -37,6 +37,9 @@
   std::vector<LinkHeader> headers;
   std::string body;
   Milliseconds timeout{ 1000 };
+  /** Waits for its answer also on a link that went silent, as it can't be sent
+   * again. */
+  bool waitsOut = false;
 };
 
 struct LinkResponse
--- a/include/knapweedpaddle/routing/RoutingView.h
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "knapweedpaddle/config/Snapshot.h"
 #include "knapweedpaddle/nodes/MemberRecord.h"
 #include "knapweedpaddle/routing/RetryPolicy.h"
+#include "knapweedpaddle/routing/RouteTable.h"
 
 #include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 /** Where a call goes, and whether it may go again. */
@@ -44,21 +43,17 @@
   /** Indexes the routes of a configuration. */
   explicit RoutingView(config::SnapshotPtr aConfig);
 
+  /** Shares an index of the same configuration's routes. */
+  RoutingView(config::SnapshotPtr aConfig, RouteTablePtr aRoutes);
+
   config::SnapshotPtr config;
-  /** Of config, by host, longest prefix first. */
-  std::unordered_map<std::string, std::vector<const config::RouteEntry*>>
-    routes;
+  RouteTablePtr routes; ///< of config
   std::map<std::string, std::vector<Target>> targets; ///< by service
   std::map<std::string, VersionShare> shares;         ///< by service
   RetryOptions retries;
   bool open = false; ///< the node holds a configuration that it may serve
 
-  /**
-   * Returns the route with the longest prefix of a path, or null.
-   *
-   * @param aHost  in lower case, without a port; routes without a host take
-   * any.
-   */
+  /** Returns the route of a request; see RouteTable::Find(). */
   const config::RouteEntry* FindRoute(const std::string& aHost,
                                       const std::string& aPath) const;
 
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -1,6 +1,5 @@
 #include "knapweedpaddle/node/ConfigFollower.h"
 
-#include "knapweedpaddle/config/EntryCodec.h"
 #include "knapweedpaddle/telemetry/Log.h"
 
 namespace knapweedpaddle::node {
@@ -21,7 +20,6 @@
 /** Without a message for so long, peers can't be relied on for changes. Each
  * probe period brings at least one when they are reachable. */
 constexpr Milliseconds kLonely{ 1300 };
-constexpr std::size_t kHistoryLimit = 64; ///< changes kept for peers
 
 void
 LogRefused(const std::string& aSource, const std::string& aReason)
@@ -199,25 +197,6 @@
     });
 }
 
-nodes::PullAnswer
-ConfigFollower::MakePullAnswer(std::uint64_t aFrom) const
-{
-  nodes::PullAnswer answer;
-  answer.configVersion = Version();
-  if (answer.configVersion <= aFrom) {
-    return answer;
-  }
-  auto it = std::ranges::find(mHistory, aFrom, &config::Change::baseVersion);
-  if (it == mHistory.end()) {
-    answer.snapshot = config::EncodeSnapshot(*mConfig);
-    return answer;
-  }
-  for (; it != mHistory.end(); ++it) {
-    answer.changes.push_back(config::EncodeChange(*it));
-  }
-  return answer;
-}
-
 bool
 ConfigFollower::ApplyAnswer(const nodes::PullAnswer& aAnswer,
                             const std::string& aSource)
@@ -226,7 +205,7 @@
     return ApplyChanges(aAnswer.changes, aSource);
   }
   config::ConfigReason reason;
-  auto snapshot = config::DecodeSnapshot(aAnswer.snapshot, reason);
+  auto snapshot = DecodeSentSnapshot(aAnswer.snapshot, reason);
   if (!snapshot) {
     LogRefused(aSource, reason.message);
     return false;
@@ -242,7 +221,7 @@
 {
   for (const auto& it : aChanges) {
     config::ConfigReason reason;
-    const auto change = config::DecodeChange(it, reason);
+    const auto change = DecodeSentChange(it, reason);
     if (!change) {
       LogRefused(aSource, reason.message);
       return false;
@@ -276,14 +255,7 @@
   if (HasConfig() && aConfig->version <= Version()) {
     return;
   }
-  if (HasConfig() && mConfig->callerLimits == aConfig->callerLimits) {
-    mHistory.push_back(config::Difference(*mConfig, *aConfig));
-    if (mHistory.size() > kHistoryLimit) {
-      mHistory.pop_front();
-    }
-  } else {
-    mHistory.clear(); // A change does not carry limits.
-  }
+  mHistory.Add(mConfig, aConfig);
   mConfig = std::move(aConfig);
   mSource = aSource;
   mServices.onApplied(aSource == "store");
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -146,6 +146,7 @@
   mServices.note("config_applied",
                  "version " + std::to_string(mConfig.Version()) + " from " +
                    mConfig.Source());
+  mRoutes = std::make_shared<const routing::RouteTable>(mConfig.Current());
   mMembers.Members().SetConfigVersion(mConfig.Version());
   mServices.setCallerLimits(mConfig.Current()->callerLimits);
   UpdateSelf();
@@ -243,7 +244,7 @@
     return;
   }
   auto view =
-    std::make_shared<routing::RoutingView>(mConfig.Current());
+    std::make_shared<routing::RoutingView>(mConfig.Current(), mRoutes);
   view->open = true;
   view->retries = RetryShare();
   const auto add = [&view](const MemberRecord& aRecord, bool aSuspect) {
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -33,7 +33,7 @@
 constexpr Milliseconds kStopMargin{ 400 };
 constexpr Milliseconds kLinkConnectTimeout{ 300 };
 constexpr Milliseconds kLinkPingEvery{ 500 };
-constexpr Milliseconds kLinkPingTimeout{ 400 };
+constexpr Milliseconds kLinkPingTimeout{ 700 };
 constexpr int kGraceful = 0;
 constexpr int kCallsLost = 1;
 constexpr int kNotStarted = 2;
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -106,6 +106,7 @@
 {
   LinkRequest request;
   request.path = kCallPath;
+  request.waitsOut = aCall.callClass == config::CallClass::kAtMostOnce;
   request.timeout =
     std::chrono::duration_cast<Milliseconds>(aCall.deadline - aNow);
   const auto left =
--- a/src/nodes/LinkClient.cpp
+++ b/src/nodes/LinkClient.cpp
@@ -33,6 +33,7 @@
     Connection* connection = nullptr; ///< null when no stream was opened
     std::int32_t stream = -1;
     EventLoop::TimerId timer = 0;
+    bool waitsOut = false;
     Callback callback;
   };
 
@@ -49,6 +50,7 @@
     const RequestId id = ++mLastId;
     Request& request = mRequests[id];
     request.callback = std::move(aCallback);
+    request.waitsOut = aRequest.waitsOut;
     request.timer =
       mLoop.RunAfter(aRequest.timeout, [this, id] { OnTimeout(id); });
     Connection* connection = Usable(aAddress);
@@ -170,8 +172,7 @@
       return;
     }
     if (aConnection->pingOutstanding) {
-      ++mSilentLinks;
-      Drop(aConnection, LinkError::kSilent, "the link went silent");
+      OnSilence(aConnection);
       return;
     }
     const auto idle = std::chrono::steady_clock::now() - aConnection->lastUsed;
@@ -186,6 +187,36 @@
     aConnection->session->SendPing();
   }
 
+  /** Replaces a silent link; only what waits it out stays on it. */
+  void OnSilence(Connection* aConnection)
+  {
+    mSilentLinks += aConnection->closing ? 0 : 1;
+    StopUsing(aConnection);
+    std::vector<RequestId> given;
+    std::erase_if(aConnection->requests, [&](const auto& aItem) {
+      const auto it = mRequests.find(aItem.second);
+      if (it != mRequests.end() && it->second.waitsOut) {
+        return false;
+      }
+      given.push_back(aItem.second);
+      return true;
+    });
+    if (aConnection->requests.empty()) {
+      Drop(aConnection, LinkError::kSilent, "the link went silent");
+    } else {
+      RestartTimer(aConnection, mOptions.pingEvery);
+    }
+    const std::string address = aConnection->address;
+    mLoop.Post([this, given, address] {
+      for (const auto id : given) {
+        Finish(id,
+               std::nullopt,
+               LinkError::kSilent,
+               address + ": the link went silent");
+      }
+    });
+  }
+
   void StopUsing(Connection* aConnection)
   {
     aConnection->closing = true;
--- a/src/routing/RoutingView.cpp
+++ b/src/routing/RoutingView.cpp
@@ -1,42 +1,24 @@
 #include "knapweedpaddle/routing/RoutingView.h"
 
-#include <algorithm>
-
 namespace knapweedpaddle::routing {
 
 RoutingView::RoutingView(config::SnapshotPtr aConfig)
   : config(std::move(aConfig))
+  , routes(std::make_shared<const RouteTable>(config))
+{
+}
+
+RoutingView::RoutingView(config::SnapshotPtr aConfig, RouteTablePtr aRoutes)
+  : config(std::move(aConfig))
+  , routes(std::move(aRoutes))
 {
-  for (const auto& [id, entry] : config->entries) {
-    if (const auto* route = std::get_if<config::RouteEntry>(&entry)) {
-      routes[route->host].push_back(route);
-    }
-  }
-  for (auto& [host, list] : routes) {
-    std::ranges::sort(list, std::ranges::greater{}, [](const auto* aRoute) {
-      return aRoute->pathPrefix.size();
-    });
-  }
 }
 
 const config::RouteEntry*
 RoutingView::FindRoute(const std::string& aHost,
                        const std::string& aPath) const
 {
-  for (const std::string& host : { aHost, std::string() }) {
-    const auto list = routes.find(host);
-    if (list == routes.end()) {
-      continue;
-    }
-    const auto it =
-      std::ranges::find_if(list->second, [&aPath](const auto* aRoute) {
-        return aPath.starts_with(aRoute->pathPrefix);
-      });
-    if (it != list->second.end()) {
-      return *it;
-    }
-  }
-  return nullptr;
+  return routes ? routes->Find(aHost, aPath) : nullptr;
 }
 
 std::vector<std::string>
