Send idempotent calls that take unusually long to a second server

Cause: a server that turned 12 times slower holds what it was sent; answers that would tell of it come late.

--- a/include/knapweedpaddle/routing/Picker.h
+++ b/include/knapweedpaddle/routing/Picker.h
@@ -69,6 +69,9 @@
                   const backends::ServerLoad& aLoad,
                   Timestamp aNow);
 
+  /** Returns the mean time of a route's calls over all nodes, 0: unknown. */
+  double RouteMs(const std::string& aRoute) const;
+
   bool IsEjected(nodes::NodeId aNode, Timestamp aNow) const;
 
   /** Returns the expected milliseconds until a call is done at a target. */
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -27,6 +27,10 @@
 
 constexpr Milliseconds kLeastTimeout{ 1 };
 constexpr Milliseconds kRetryAfter{ 200 }; ///< told to refused callers
+/** A call under way for so many times its route's mean is worth a second try. */
+constexpr double kUnusualFactor = 2.2;
+constexpr double kHedgeEarliest = 0.55; ///< of the target time
+constexpr double kHedgeLatest = 0.85;   ///< later the target is missed anyway
 constexpr std::uint32_t kMaxRedirects = 4; ///< by owners, for one call
 constexpr std::uint32_t kNoLimit = 0xffffffff;
 constexpr double kLogLinesPerSecond = 20;
@@ -142,9 +146,7 @@
                       "\" is known");
       return {};
     }
-    if (call->route.callClass == CallClass::kCheck) {
-      ScheduleHedge(call);
-    }
+    ScheduleHedge(call);
     return [this, call] { Abandon(call); };
   }
 
@@ -486,12 +488,39 @@
     aCall->active.erase(it);
   }
 
+  /** Returns after which time a call is sent to a second server, if at all. */
+  std::optional<Milliseconds> HedgeDelay(const Call& aCall) const
+  {
+    const Milliseconds target = aCall.route.slowAfter;
+    switch (aCall.route.callClass) {
+      case CallClass::kCheck:
+        return target;
+      case CallClass::kAtMostOnce:
+        return std::nullopt;
+      case CallClass::kIdempotent:
+        break;
+    }
+    const Milliseconds unusual(static_cast<std::int64_t>(
+      kUnusualFactor * mPicker.RouteMs(aCall.route.header.name)));
+    const auto earliest =
+      std::chrono::duration_cast<Milliseconds>(target * kHedgeEarliest);
+    const auto latest =
+      std::chrono::duration_cast<Milliseconds>(target * kHedgeLatest);
+    const Milliseconds delay = std::max(unusual, earliest);
+    return delay <= latest && aCall.route.maxTries > 1 ? std::optional(delay)
+                                                       : std::nullopt;
+  }
+
   void ScheduleHedge(const CallPtr& aCall)
   {
+    const auto delay = HedgeDelay(*aCall);
+    if (!delay) {
+      return;
+    }
     aCall->hedgeTimer =
-      mServices.loop.RunAfter(aCall->route.slowAfter, [this, aCall] {
+      mServices.loop.RunAfter(*delay, [this, aCall] {
         aCall->hedgeTimer = 0;
-        if (!aCall->active.empty() &&
+        if (aCall->active.size() == 1 && aCall->sendings == 1 &&
             RetriesFor(aCall->service).TakeHedge(Now()) && StartTry(aCall)) {
           mServices.metrics.Count("hedges_total", {});
         }
--- a/src/routing/Picker.cpp
+++ b/src/routing/Picker.cpp
@@ -100,6 +100,13 @@
   }
 }
 
+double
+Picker::RouteMs(const std::string& aRoute) const
+{
+  const auto it = mRouteMs.find(aRoute);
+  return it == mRouteMs.end() ? 0 : it->second;
+}
+
 double
 Picker::ServiceMs(const State& aState, const std::string& aRoute) const
 {
--- a/src/routing/RetryPolicy.cpp
+++ b/src/routing/RetryPolicy.cpp
@@ -51,7 +51,7 @@
 bool
 RetryPolicy::TakeHedge(Timestamp aNow)
 {
-  return mBudget.Take(aNow);
+  return mBudget.Take(aNow, mOptions.runCost);
 }
 
 } // namespace knapweedpaddle::routing
