--- a/include/knapweedpaddle/backends/ServerReport.h
+++ b/include/knapweedpaddle/backends/ServerReport.h
@@ -31,9 +31,9 @@
   std::string version;
   std::uint32_t slots = 0;
   ReportedState state = ReportedState::kReady;
-  Milliseconds warmupLeft{ 0 };   ///< how much longer it stays slow
-  std::uint64_t sequence = 0;     ///< rises within one start of the server
-  std::uint64_t startedAtMs = 0;  ///< Unix time; tells starts apart; 0: unknown
+  Milliseconds warmupLeft{ 0 };  ///< how much longer it stays slow
+  std::uint64_t sequence = 0;    ///< rises within one start of the server
+  std::uint64_t startedAtMs = 0; ///< Unix time; tells starts apart; 0: unknown
 };
 
 } // namespace knapweedpaddle::backends
--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -41,8 +41,9 @@
 
 /**
  * Admits calls to the backend server's slots. Some slots are kept for calls of
- * class check, which also wait before all others; the others wait by target time. A call is refused at once when the wait that the recent service
- * time suggests would outlast its deadline, or most of its target time.
+ * class check, which also wait before all others; the others wait by target
+ * time. A call is refused at once when the wait that the recent service time
+ * suggests would outlast its deadline, or most of its target time.
  *
  * Thread safety: the traffic thread only.
  */
--- a/include/knapweedpaddle/callers/Call.h
+++ b/include/knapweedpaddle/callers/Call.h
@@ -18,8 +18,8 @@
 struct CallRequest
 {
   std::string method;
-  std::string host; ///< in lower case, without a port
-  std::string path; ///< with its query
+  std::string host;                ///< in lower case, without a port
+  std::string path;                ///< with its query
   std::vector<HttpHeader> headers; ///< those that are passed on
   std::string body;
   std::string idempotencyKey;
@@ -52,7 +52,7 @@
   std::string reason; ///< why there is no answer
   std::string callId;
   bool arrived = false; ///< with kNotRun: the backend server itself refused
-  bool routeMissing = false; ///< with kNotRun: no route matches
+  bool routeMissing = false;              ///< with kNotRun: no route matches
   std::optional<Milliseconds> retryAfter; ///< with kNotRun
 };
 
--- a/include/knapweedpaddle/http/Client.h
+++ b/include/knapweedpaddle/http/Client.h
@@ -35,8 +35,8 @@
 struct ClientOptions
 {
   Milliseconds connectTimeout{ 300 };
-  Milliseconds idleKept{ 4000 };      ///< an idle connection is closed after it
-  std::string idHeader;               ///< which answers echo; empty for none
+  Milliseconds idleKept{ 4000 }; ///< an idle connection is closed after it
+  std::string idHeader;          ///< which answers echo; empty for none
   std::size_t answerBytes = 64UL * 1024 * 1024;
 };
 
@@ -58,7 +58,8 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  /** Sets the server's "IP:port"; idle connections to another one are closed. */
+  /** Sets the server's "IP:port"; idle connections to another one are closed.
+   */
   void SetAddress(const std::string& aAddress);
 
   /**
--- a/include/knapweedpaddle/moves/RolloutBoard.h
+++ b/include/knapweedpaddle/moves/RolloutBoard.h
@@ -11,7 +11,7 @@
 /** How far a rollout has come. */
 enum class RolloutStage : std::uint32_t
 {
-  kCanary,   ///< a small share, until the new version has proved itself
+  kCanary, ///< a small share, until the new version has proved itself
   kQuarter,
   kHalf,
   kAll,      ///< every call; the old version's last ones end
--- a/include/knapweedpaddle/moves/RolloutJudge.h
+++ b/include/knapweedpaddle/moves/RolloutJudge.h
@@ -11,7 +11,7 @@
 
 struct RolloutJudgeOptions
 {
-  Milliseconds window{ 2000 };    ///< in which a fault that begins late shows
+  Milliseconds window{ 2000 };     ///< in which a fault that begins late shows
   std::uint64_t leastFailures = 5; ///< before a version is condemned
   std::uint64_t leastSlow = 8;
   double failureTolerance = 0.12; ///< share above twice the old version's
--- a/include/knapweedpaddle/node/ConfigAgent.h
+++ b/include/knapweedpaddle/node/ConfigAgent.h
@@ -4,8 +4,8 @@
 #include "knapweedpaddle/config/ConfigStore.h"
 #include "knapweedpaddle/node/ServingGate.h"
 #include "knapweedpaddle/nodes/PeerClient.h"
-#include "knapweedpaddle/store/CatalogueReader.h"
 #include "knapweedpaddle/runtime/Scheduler.h"
+#include "knapweedpaddle/store/CatalogueReader.h"
 
 #include <functional>
 #include <random>
--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -82,7 +82,7 @@
   config::SnapshotPtr mConfig;
   std::string mSource;
   ConfigHistory mHistory;
-  std::uint64_t mRound = 0;            ///< outdates calls of earlier rounds
+  std::uint64_t mRound = 0; ///< outdates calls of earlier rounds
   bool mFollowing = false;
   bool mPulling = false;
   Timestamp mAloneUntil{}; ///< before it peers may bring the configuration
--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -3,8 +3,8 @@
 #include "knapweedpaddle/common/Backoff.h"
 #include "knapweedpaddle/nodes/Membership.h"
 #include "knapweedpaddle/nodes/PeerClient.h"
-#include "knapweedpaddle/store/StoreClient.h"
 #include "knapweedpaddle/runtime/Scheduler.h"
+#include "knapweedpaddle/store/StoreClient.h"
 
 #include <functional>
 #include <string>
--- a/include/knapweedpaddle/operators/OrderDesk.h
+++ b/include/knapweedpaddle/operators/OrderDesk.h
@@ -56,8 +56,8 @@
 public:
   using NewsCallback =
     std::function<void(std::optional<OrderNews>, const store::StoreReason&)>;
-  using StatusCallback =
-    std::function<void(std::optional<RolloutStatus>, const store::StoreReason&)>;
+  using StatusCallback = std::function<void(std::optional<RolloutStatus>,
+                                            const store::StoreReason&)>;
   using DoneCallback = std::function<void(bool, const store::StoreReason&)>;
 
   virtual ~OrderDesk() = default;
--- a/include/knapweedpaddle/routing/Picker.h
+++ b/include/knapweedpaddle/routing/Picker.h
@@ -17,8 +17,8 @@
   double panicShare =
     0.5; ///< with more than this share ejected, ejection is ignored
   /** Cost of leaving the own zone, the greater of two. */
-  double zonePenalty = 0.25;       ///< in service times
-  double zonePenaltyTarget = 0.3; ///< in target times
+  double zonePenalty = 0.25;         ///< in service times
+  double zonePenaltyTarget = 0.3;    ///< in target times
   Milliseconds unknownService{ 50 }; ///< assumed until a node reported
   Milliseconds loadHalfLife{ 400 };  ///< by which others' calls are forgotten
   std::size_t sampled = 8;           ///< candidates compared for one call
--- a/include/knapweedpaddle/routing/RoutingView.h
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -47,7 +47,7 @@
   RoutingView(config::SnapshotPtr aConfig, RouteTablePtr aRoutes);
 
   config::SnapshotPtr config;
-  RouteTablePtr routes; ///< of config
+  RouteTablePtr routes;                               ///< of config
   std::map<std::string, std::vector<Target>> targets; ///< by service
   std::map<std::string, VersionShare> shares;         ///< by service
   RetryOptions retries;
--- a/include/knapweedpaddle/settings/FleetSettings.h
+++ b/include/knapweedpaddle/settings/FleetSettings.h
@@ -10,15 +10,15 @@
 /** What a node that runs on the users' platform is told. */
 struct FleetSettings
 {
-  std::string name; ///< of the VM
+  std::string name;    ///< of the VM
   std::string address; ///< IPv4 address of the VM
   std::string zone;
-  std::string callerAddress;  ///< "IP:port" for the VM's own callers
-  std::string readyAddress;   ///< "IP:port" for readiness checks
-  std::string reportAddress;  ///< "IP:port" for the backend server's reports
-  std::string backendAddress; ///< "IP:port" of the VM's backend server
-  std::string service;        ///< of the VM's backend server
-  std::string storeAddress;   ///< "IP:port"
+  std::string callerAddress;   ///< "IP:port" for the VM's own callers
+  std::string readyAddress;    ///< "IP:port" for readiness checks
+  std::string reportAddress;   ///< "IP:port" for the backend server's reports
+  std::string backendAddress;  ///< "IP:port" of the VM's backend server
+  std::string service;         ///< of the VM's backend server
+  std::string storeAddress;    ///< "IP:port"
   std::uint16_t firstPort = 0; ///< of those free for use between nodes
   std::uint16_t lastPort = 0;
   Milliseconds reportInterval{ 1500 }; ///< of the backend server's reports
--- a/include/knapweedpaddle/telemetry/LogBudget.h
+++ b/include/knapweedpaddle/telemetry/LogBudget.h
@@ -28,8 +28,7 @@
     if (mLast != Timestamp{} && aNow > mLast) {
       mLines = std::min(
         mBurst,
-        mLines +
-          mRate * std::chrono::duration<double>(aNow - mLast).count());
+        mLines + mRate * std::chrono::duration<double>(aNow - mLast).count());
     }
     mLast = aNow;
     if (mLines < 1) {
--- a/include/knapweedpaddle/telemetry/Metrics.h
+++ b/include/knapweedpaddle/telemetry/Metrics.h
@@ -10,7 +10,7 @@
 
 /**
  * Counters, gauges and histograms of one node. Names are documented in
- * docs/OPERATING.md.
+ * docs/OPERATIONS.md.
  *
  * Thread safety: every method may be called from any thread.
  */
--- a/src/backends/AdmissionBalance.cpp
+++ b/src/backends/AdmissionBalance.cpp
@@ -49,8 +49,7 @@
   if (offered <= 0) {
     return 1;
   }
-  const double missed =
-    standing / offered - Standing(own->second, aPriority);
+  const double missed = standing / offered - Standing(own->second, aPriority);
   return std::clamp(1 + kGain * missed, kLeastFactor, kMostFactor);
 }
 
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -29,7 +29,7 @@
 constexpr int kFirstServerError = 500;
 constexpr int kMisdirected = 421;
 constexpr double kFailureWeight = 0.05; ///< of one call in the moving average
-constexpr double kRouteWeight = 0.1; ///< of one call in a route's average
+constexpr double kRouteWeight = 0.1;    ///< of one call in a route's average
 constexpr double kPercent = 100;
 
 CallResult
@@ -167,17 +167,16 @@
       return;
     }
     SlotRefusal refusal{};
-    const auto answer = mSlots.Request(
-      SlotRequest{ aRun,
-                   call.callClass,
-                   call.deadline,
-                   call.priority,
-                   call.slowAfter,
-                   call.targetAt,
-                   call.route,
-                   RouteMs(call.route) },
-      Now(),
-      refusal);
+    const auto answer = mSlots.Request(SlotRequest{ aRun,
+                                                    call.callClass,
+                                                    call.deadline,
+                                                    call.priority,
+                                                    call.slowAfter,
+                                                    call.targetAt,
+                                                    call.route,
+                                                    RouteMs(call.route) },
+                                       Now(),
+                                       refusal);
     if (!answer) {
       Refuse(aRun, std::string(NameOf(kSlotRefusalNames, refusal)));
       return;
@@ -275,14 +274,14 @@
     running.dispatched = true;
     running.sentAt = now;
     running.sentAtWallMicroseconds = WallMicroseconds();
-    running.request = mHttp.Send(
-      RequestFor(call, span, now),
-      call.callClass == config::CallClass::kAtMostOnce ? kMaxIdleOnce
-                                                       : kMaxIdle,
-      [this, aRun, span](std::optional<http::Response> aResponse,
-                         const ClientReason& aReason) {
-        OnBackendAnswer(aRun, span, std::move(aResponse), aReason);
-      });
+    running.request =
+      mHttp.Send(RequestFor(call, span, now),
+                 call.callClass == config::CallClass::kAtMostOnce ? kMaxIdleOnce
+                                                                  : kMaxIdle,
+                 [this, aRun, span](std::optional<http::Response> aResponse,
+                                    const ClientReason& aReason) {
+                   OnBackendAnswer(aRun, span, std::move(aResponse), aReason);
+                 });
   }
 
   http::Request RequestFor(const OwnedCall& aCall,
@@ -370,8 +369,8 @@
                         http::FindHeader(aResponse->headers, dialect.notRun))) {
       result.outcome = CallOutcome::kNotRun;
       result.arrived = !misdirected;
-      result.reason =
-        "the backend server refused with status " + std::to_string(result.status);
+      result.reason = "the backend server refused with status " +
+                      std::to_string(result.status);
       if (misdirected) {
         // Another server has the address; its own report will name it.
         mBackend.reset();
@@ -452,25 +451,26 @@
     const OwnedCall& call = aRunning.call;
     const std::string* id =
       http::FindHeader(call.headers, mServices.dialect.callId);
-    const auto ran = aRunning.dispatched
-                       ? std::chrono::duration_cast<Milliseconds>(
-                           now - aRunning.sentAt)
-                       : Milliseconds(0);
-    LogEvent(telemetry::LogCategory::kBackend,
-             telemetry::LogLevel::kInfo,
-             "run",
-             { { "id", id ? *id : "" },
-               { "call", call.callId },
-               { "server", mBackend ? mBackend->id : "" },
-               { "outcome", std::string(NameOf(callers::kCallOutcomeNames,
-                                               aResult.outcome)) },
-               { "status", std::to_string(aResult.status) },
-               { "ms", std::to_string(ran.count()) },
-               { "busy", std::to_string(mSlots.Busy()) },
-               { "queued", std::to_string(mSlots.Queued()) },
-               { "slots", std::to_string(mSlots.Slots()) },
-               { "left_out", std::to_string(mLogBudget.TakeLeftOut()) },
-               { "reason", aResult.reason } });
+    const auto ran =
+      aRunning.dispatched
+        ? std::chrono::duration_cast<Milliseconds>(now - aRunning.sentAt)
+        : Milliseconds(0);
+    LogEvent(
+      telemetry::LogCategory::kBackend,
+      telemetry::LogLevel::kInfo,
+      "run",
+      { { "id", id ? *id : "" },
+        { "call", call.callId },
+        { "server", mBackend ? mBackend->id : "" },
+        { "outcome",
+          std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) },
+        { "status", std::to_string(aResult.status) },
+        { "ms", std::to_string(ran.count()) },
+        { "busy", std::to_string(mSlots.Busy()) },
+        { "queued", std::to_string(mSlots.Queued()) },
+        { "slots", std::to_string(mSlots.Slots()) },
+        { "left_out", std::to_string(mLogBudget.TakeLeftOut()) },
+        { "reason", aResult.reason } });
   }
 
   Services mServices;
--- a/src/backends/ServerLedger.cpp
+++ b/src/backends/ServerLedger.cpp
@@ -19,8 +19,8 @@
   if (aReport.state == ReportedState::kGone) {
     return ApplyGone(aReport);
   }
-  if (aReport.address != mAddress || aReport.id.empty() ||
-      aReport.slots == 0 || aReport.startedAtMs == 0) {
+  if (aReport.address != mAddress || aReport.id.empty() || aReport.slots == 0 ||
+      aReport.startedAtMs == 0) {
     return ReportVerdict::kForeign;
   }
   if (IsOutdated(aReport)) {
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -14,7 +14,7 @@
 constexpr double kServiceMargin = 1.6; ///< over the mean, kept of the target
 constexpr double kWaitPart = 0.8;      ///< of what is left of the target then
 constexpr double kLeastWaitPart = 0.2; ///< of the target, always allowed
-constexpr double kServiceSpan = 12; ///< calls that the average remembers
+constexpr double kServiceSpan = 12;    ///< calls that the average remembers
 
 } // namespace
 
@@ -146,8 +146,7 @@
   if (aNow + wait >= aRequest.deadline) {
     return SlotRefusal::kDeadlineTooNear;
   }
-  if (aRequest.target > Milliseconds(0) &&
-      wait > LongestWait(aRequest, aNow)) {
+  if (aRequest.target > Milliseconds(0) && wait > LongestWait(aRequest, aNow)) {
     return SlotRefusal::kWaitTooLong;
   }
   return std::nullopt;
@@ -175,11 +174,10 @@
 Milliseconds
 SlotQueue::ExpectedWait(const SlotRequest& aRequest) const
 {
-  const auto ahead =
-    mChecks.size() +
-    static_cast<std::size_t>(PlaceOf(aRequest) - mOthers.begin());
-  const double rounds = static_cast<double>(ahead + 1) /
-                        static_cast<double>(std::max(mSlots, 1U));
+  const auto ahead = mChecks.size() + static_cast<std::size_t>(
+                                        PlaceOf(aRequest) - mOthers.begin());
+  const double rounds =
+    static_cast<double>(ahead + 1) / static_cast<double>(std::max(mSlots, 1U));
   return Milliseconds(static_cast<std::int64_t>(mServiceMs * rounds));
 }
 
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -27,7 +27,8 @@
 
 constexpr Milliseconds kLeastTimeout{ 1 };
 constexpr Milliseconds kRetryAfter{ 200 }; ///< told to refused callers
-/** A call under way for so many times its route's mean is worth a second try. */
+/** A call under way for so many times its route's mean is worth a second try.
+ */
 constexpr double kUnusualFactor = 2.2;
 constexpr double kHedgeEarliest = 0.55; ///< of the target time
 constexpr double kHedgeLatest = 0.85;   ///< later the target is missed anyway
@@ -194,12 +195,11 @@
       return "limit \"" + route->limit + "\" is exceeded";
     }
     aCall.service = DrawService(*route);
-    aCall.versions =
-      mView->VersionsFor(aCall.service,
-                         route->callClass,
-                         Draw("version " + aCall.service + " " +
-                              std::string(NameOf(config::kCallClassNames,
-                                                 route->callClass))));
+    aCall.versions = mView->VersionsFor(
+      aCall.service,
+      route->callClass,
+      Draw("version " + aCall.service + " " +
+           std::string(NameOf(config::kCallClassNames, route->callClass))));
     aCall.steps.push_back("route " + route->header.name + " of version " +
                           std::to_string(mView->config->version) +
                           " to service " + aCall.service);
@@ -255,12 +255,9 @@
   routing::PickQuery QueryFor(const Call& aCall,
                               const std::string& aVersion) const
   {
-    return { aCall.service,
-             aVersion,
-             mIdentity.zone,
-             aCall.tried,
-             aCall.route.header.name,
-             aCall.route.slowAfter };
+    return { aCall.service,           aVersion,
+             mIdentity.zone,          aCall.tried,
+             aCall.route.header.name, aCall.route.slowAfter };
   }
 
   const routing::Target* Choose(const Call& aCall)
@@ -295,8 +292,8 @@
     aCall->steps.push_back(
       "try " + std::to_string(aCall->sendings) + ": " + ToString(target->node) +
       " in " + target->zone + ", version " + target->version + ", expected " +
-      std::to_string(std::lround(
-        mPicker.Cost(*target, QueryFor(*aCall, ""), now))) +
+      std::to_string(
+        std::lround(mPicker.Cost(*target, QueryFor(*aCall, ""), now))) +
       " ms");
     mPicker.Start(target->node);
     OwnedCall owned = Owned(*aCall, next, target->version);
@@ -355,8 +352,9 @@
                     const LinkReason& aReason)
   {
     if (!aResponse) {
-      OnFailedTry(
-        aCall, aTry, { OutcomeOf(aReason.code), aReason.message, false, false });
+      OnFailedTry(aCall,
+                  aTry,
+                  { OutcomeOf(aReason.code), aReason.message, false, false });
       return;
     }
     auto decoded = nodes::DecodeCallResult(std::move(*aResponse), aTry);
@@ -517,14 +515,13 @@
     if (!delay) {
       return;
     }
-    aCall->hedgeTimer =
-      mServices.loop.RunAfter(*delay, [this, aCall] {
-        aCall->hedgeTimer = 0;
-        if (aCall->active.size() == 1 && aCall->sendings == 1 &&
-            RetriesFor(aCall->service).TakeHedge(Now()) && StartTry(aCall)) {
-          mServices.metrics.Count("hedges_total", {});
-        }
-      });
+    aCall->hedgeTimer = mServices.loop.RunAfter(*delay, [this, aCall] {
+      aCall->hedgeTimer = 0;
+      if (aCall->active.size() == 1 && aCall->sendings == 1 &&
+          RetriesFor(aCall->service).TakeHedge(Now()) && StartTry(aCall)) {
+        mServices.metrics.Count("hedges_total", {});
+      }
+    });
   }
 
   void FinishWithout(const CallPtr& aCall, const std::string& aReason)
@@ -611,8 +608,7 @@
   {
     const bool plain = aResult.outcome == CallOutcome::kAnswered &&
                        aResult.status < kFirstServerError &&
-                       aCall.sendings == 1 &&
-                       aElapsed <= aCall.route.slowAfter;
+                       aCall.sendings == 1 && aElapsed <= aCall.route.slowAfter;
     const Timestamp now = Now();
     if (plain || !mLogBudget.Take(now)) {
       return;
@@ -625,19 +621,19 @@
       std::chrono::duration_cast<Milliseconds>(aElapsed).count();
     const auto left =
       std::chrono::duration_cast<Milliseconds>(aCall.deadline - now).count();
-    LogEvent(telemetry::LogCategory::kCalls,
-             telemetry::LogLevel::kInfo,
-             "call",
-             { { "id", aCall.request.callId },
-               { "call", aCall.id },
-               { "route", aCall.route.header.name },
-               { "outcome", std::string(NameOf(kCallOutcomeNames,
-                                               aResult.outcome)) },
-               { "status", std::to_string(aResult.status) },
-               { "ms", std::to_string(milliseconds) },
-               { "left_ms", std::to_string(left) },
-               { "left_out", std::to_string(mLogBudget.TakeLeftOut()) },
-               { "steps", steps } });
+    LogEvent(
+      telemetry::LogCategory::kCalls,
+      telemetry::LogLevel::kInfo,
+      "call",
+      { { "id", aCall.request.callId },
+        { "call", aCall.id },
+        { "route", aCall.route.header.name },
+        { "outcome", std::string(NameOf(kCallOutcomeNames, aResult.outcome)) },
+        { "status", std::to_string(aResult.status) },
+        { "ms", std::to_string(milliseconds) },
+        { "left_ms", std::to_string(left) },
+        { "left_out", std::to_string(mLogBudget.TakeLeftOut()) },
+        { "steps", steps } });
   }
 
   struct Limit
@@ -651,7 +647,8 @@
   routing::Picker mPicker;
   std::mt19937_64 mRandom;
   routing::RoutingViewPtr mView;
-  std::unordered_map<std::string, routing::RetryPolicy> mRetries; ///< by service
+  std::unordered_map<std::string, routing::RetryPolicy>
+    mRetries; ///< by service
   std::unordered_map<std::string, Limit> mLimits;
   std::unordered_map<std::string, routing::ShareSequence> mDraws; ///< by name
   telemetry::LogBudget mLogBudget{ kLogLinesPerSecond, kLogBurst };
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -74,9 +74,8 @@
   switch (aResult.outcome) {
     case CallOutcome::kAnswered: {
       const bool wouldPromise =
-        aStatusPromises &&
-        std::ranges::find(kNotRunStatuses, aResult.status) !=
-          kNotRunStatuses.end();
+        aStatusPromises && std::ranges::find(kNotRunStatuses, aResult.status) !=
+                             kNotRunStatuses.end();
       return wouldPromise ? kBadGateway : aResult.status;
     }
     case CallOutcome::kNotRun:
@@ -169,8 +168,7 @@
   aRequest.headers = http::EndToEnd(aMessage.headers);
   aRequest.body = std::move(aMessage.body);
   if (!mDialect.callId.empty()) {
-    const std::string* id =
-      http::FindHeader(aRequest.headers, mDialect.callId);
+    const std::string* id = http::FindHeader(aRequest.headers, mDialect.callId);
     aRequest.callId = id ? *id : "";
   }
   aRequest.idempotencyKey =
--- a/src/common/Compression.cpp
+++ b/src/common/Compression.cpp
@@ -26,8 +26,7 @@
   if (inflateInit(&stream) != Z_OK) {
     return std::nullopt;
   }
-  stream.next_in =
-    reinterpret_cast<Bytef*>(const_cast<char*>(aBytes.data()));
+  stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(aBytes.data()));
   stream.avail_in = static_cast<uInt>(aBytes.size());
   std::string out;
   std::array<char, 16384> buf{};
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -1,7 +1,7 @@
 #include "knapweedpaddle/http/Client.h"
 
-#include "runtime/SocketAddress.h"
 #include "ClientConnection.h"
+#include "runtime/SocketAddress.h"
 
 #include <list>
 #include <unordered_map>
@@ -116,21 +116,19 @@
                 const ClientReason& aReason)
   {
     const Callback callback = std::move(aEntry->callback);
-    const ClientReason reason = aReason;
     mByRequest.erase(aEntry->request);
     aEntry->request = 0;
     if (!aEntry->connection->IsReusable()) {
       Retire(aEntry);
     }
-    callback(std::move(aResponse), reason);
+    callback(std::move(aResponse), aReason);
   }
 
   /** Ends a connection that may be on the call stack. */
   void Retire(EntryList::iterator aEntry)
   {
-    const auto connection =
-      std::make_shared<std::unique_ptr<ClientConnection>>(
-        std::move(aEntry->connection));
+    const auto connection = std::make_shared<std::unique_ptr<ClientConnection>>(
+      std::move(aEntry->connection));
     (*connection)->Abandon();
     mEntries.erase(aEntry);
     mLoop.Post([connection] { connection->reset(); });
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -85,9 +85,8 @@
                     &ClientConnectionCallbacks::OnEvent,
                     this);
   sockaddr_in address = aAddress;
-  if (bufferevent_socket_connect(mBuffer,
-                                 reinterpret_cast<sockaddr*>(&address),
-                                 sizeof(address)) != 0) {
+  if (bufferevent_socket_connect(
+        mBuffer, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
     return false;
   }
   const int on = 1;
@@ -184,8 +183,7 @@
     }
     return;
   }
-  const bool unsent =
-    evbuffer_get_length(bufferevent_get_output(mBuffer)) > 0;
+  const bool unsent = evbuffer_get_length(bufferevent_get_output(mBuffer)) > 0;
   mReusable = response.keepAlive && !more && !unsent && !mEchoedForeign;
   NoteKeepAlive(response);
   mBusy = false;
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -10,9 +10,10 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> kHopHeaders{
-  "connection",       "keep-alive", "transfer-encoding", "content-length",
-  "proxy-connection", "te",         "trailer",           "upgrade",
-  "expect",           "http2-settings",
+  "connection",     "keep-alive",       "transfer-encoding",
+  "content-length", "proxy-connection", "te",
+  "trailer",        "upgrade",          "expect",
+  "http2-settings",
 };
 
 constexpr int kNoContent = 204;
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,7 +1,7 @@
 #include "knapweedpaddle/http/Server.h"
 
-#include "runtime/SocketAddress.h"
 #include "ServerConnection.h"
+#include "runtime/SocketAddress.h"
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
--- a/src/moves/RolloutBoard.cpp
+++ b/src/moves/RolloutBoard.cpp
@@ -25,8 +25,7 @@
 RolloutBoard::AddOrder(const operators::RolloutOrder& aOrder, Timestamp aNow)
 {
   const auto it = mRollouts.find(aOrder.service);
-  if (it != mRollouts.end() &&
-      it->second.order.revision >= aOrder.revision) {
+  if (it != mRollouts.end() && it->second.order.revision >= aOrder.revision) {
     if (it->second.order.revision == aOrder.revision) {
       // A peer's progress tells less than the order itself.
       it->second.order = aOrder;
@@ -52,8 +51,7 @@
   const auto slash = std::min(name.find('/'), name.size());
   const std::string service = name.substr(0, slash);
   const auto it = mRollouts.find(service);
-  if (it == mRollouts.end() ||
-      it->second.order.revision < aProgress.revision) {
+  if (it == mRollouts.end() || it->second.order.revision < aProgress.revision) {
     operators::RolloutOrder unknown;
     unknown.service = service;
     unknown.toVersion = name.substr(std::min(slash + 1, name.size()));
@@ -81,9 +79,9 @@
     return false;
   }
   Rollout& rollout = it->second;
-  const bool grows = aStage > rollout.stage ||
-                     (aCondemned && !rollout.condemned &&
-                      rollout.stage < RolloutStage::kRecorded);
+  const bool grows =
+    aStage > rollout.stage || (aCondemned && !rollout.condemned &&
+                               rollout.stage < RolloutStage::kRecorded);
   if (!grows) {
     return false;
   }
@@ -104,8 +102,8 @@
   std::vector<nodes::MoveProgress> out;
   for (const auto& [service, rollout] : mRollouts) {
     nodes::MoveProgress progress;
-    progress.move = std::string(kProgressPrefix) + service + "/" +
-                    rollout.order.toVersion;
+    progress.move =
+      std::string(kProgressPrefix) + service + "/" + rollout.order.toVersion;
     progress.revision = rollout.order.revision;
     progress.stage = static_cast<std::uint32_t>(rollout.stage);
     progress.condemned = rollout.condemned;
--- a/src/moves/RolloutJudge.cpp
+++ b/src/moves/RolloutJudge.cpp
@@ -9,9 +9,8 @@
 double
 ShareOf(std::uint64_t aBad, std::uint64_t aCalls)
 {
-  return aCalls == 0
-           ? 0
-           : static_cast<double>(aBad) / static_cast<double>(aCalls);
+  return aCalls == 0 ? 0
+                     : static_cast<double>(aBad) / static_cast<double>(aCalls);
 }
 
 std::string
@@ -92,8 +91,7 @@
   if (after.failures >= mOptions.leastFailures &&
       ShareOf(after.failures, after.calls) >=
         mOptions.failureTolerance + 2 * oldFailures) {
-    return Describe(
-      "failed", after.failures, after.calls, oldFailures, aWhere);
+    return Describe("failed", after.failures, after.calls, oldFailures, aWhere);
   }
   const double oldSlow = ShareOf(before.slow, before.calls);
   if (after.slow >= mOptions.leastSlow &&
--- a/src/node/ClaimBridge.h
+++ b/src/node/ClaimBridge.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "knapweedpaddle/store/ClaimBatcher.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
+#include "knapweedpaddle/store/ClaimBatcher.h"
 
 namespace knapweedpaddle::node {
 
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -141,17 +141,17 @@
 ConfigFollower::Retry(const StoreReason& aReason, std::uint64_t aAfter)
 {
   NoteStore(false, aReason.message);
-  mServices.scheduler.RunAfter(
-    mBackoff.Next(mRandom), [this, round = mRound, aAfter] {
-      if (round != mRound) {
-        return;
-      }
-      if (aAfter > 0) {
-        Follow(aAfter);
-      } else {
-        ReadAll();
-      }
-    });
+  mServices.scheduler.RunAfter(mBackoff.Next(mRandom),
+                               [this, round = mRound, aAfter] {
+                                 if (round != mRound) {
+                                   return;
+                                 }
+                                 if (aAfter > 0) {
+                                   Follow(aAfter);
+                                 } else {
+                                   ReadAll();
+                                 }
+                               });
 }
 
 void
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -45,21 +45,22 @@
       std::move(aSelf),
       {},
       aSeed)
-  , mConfig(
-      { mServices.scheduler,
-        mServices.desk,
-        mServices.peers,
-        [this] {
-          return nodes::HoldsDuty(Members(), nodes::kReaderDuty, kReadersPerZone);
-        },
-        [this](bool aFromStore) { OnApplied(aFromStore); },
-        [this](const std::vector<operators::RolloutOrder>& aOrders) {
-          mRollouts.OnOrders(aOrders);
-        },
-        [this](bool aReachable, const std::string& aWhy) {
-          mServices.note(aReachable ? "store_regained" : "store_lost", aWhy);
-        } },
-      aSeed + 1)
+  , mConfig({ mServices.scheduler,
+              mServices.desk,
+              mServices.peers,
+              [this] {
+                return nodes::HoldsDuty(
+                  Members(), nodes::kReaderDuty, kReadersPerZone);
+              },
+              [this](bool aFromStore) { OnApplied(aFromStore); },
+              [this](const std::vector<operators::RolloutOrder>& aOrders) {
+                mRollouts.OnOrders(aOrders);
+              },
+              [this](bool aReachable, const std::string& aWhy) {
+                mServices.note(aReachable ? "store_regained" : "store_lost",
+                               aWhy);
+              } },
+            aSeed + 1)
   , mRollouts(
       { mServices.scheduler,
         mMembers.Members(),
@@ -74,8 +75,7 @@
             aRollout.condemned ? "rollout_condemned" : "rollout_stage",
             aRollout.order.service + " to " + aRollout.order.toVersion +
               ", stage " +
-              std::string(
-                NameOf(moves::kRolloutStageNames, aRollout.stage)) +
+              std::string(NameOf(moves::kRolloutStageNames, aRollout.stage)) +
               (aRollout.reason.empty() ? "" : ": " + aRollout.reason));
         } })
   , mServer(aSettings.backendAddress)
@@ -171,19 +171,18 @@
   const ReportVerdict verdict =
     mServer.Apply(aReport, mServices.scheduler.Now());
   if (verdict != ReportVerdict::kAccepted) {
-    mServices.note("report_ignored",
-                   aReport.id + " " +
-                     std::string(NameOf(backends::kReportVerdictNames, verdict)));
+    mServices.note(
+      "report_ignored",
+      aReport.id + " " +
+        std::string(NameOf(backends::kReportVerdictNames, verdict)));
     aDone();
     return;
   }
   std::optional<backends::BackendServer> backend;
   if (const ServerReport* ready = mServer.Ready()) {
-    backend = backends::BackendServer{ ready->address,
-                                       ready->service,
-                                       ready->version,
-                                       ready->slots,
-                                       ready->id };
+    backend = backends::BackendServer{
+      ready->address, ready->service, ready->version, ready->slots, ready->id
+    };
   }
   mServices.setBackend(std::move(backend), std::move(aDone));
   UpdateSelf();
@@ -232,7 +231,8 @@
   const auto nodes = static_cast<double>(Members().Members().size() + 1);
   routing::RetryOptions options;
   options.perCall = mSettings.retryRatio * kRetryRatioPart;
-  options.burst = std::max(kRunRetryCost, mSettings.retrySlack * kRetrySlackPart / nodes);
+  options.burst =
+    std::max(kRunRetryCost, mSettings.retrySlack * kRetrySlackPart / nodes);
   options.runCost = kRunRetryCost;
   return options;
 }
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -90,13 +90,13 @@
 void
 Note(const std::string& aEvent, const std::string& aDetail)
 {
-  const auto category = aEvent.starts_with("rollout") ? LogCategory::kMoves
-                        : aEvent.starts_with("config") ? LogCategory::kConfig
-                        : aEvent.starts_with("store") ? LogCategory::kPlatform
-                        : aEvent.starts_with("backend") ||
-                            aEvent.starts_with("report")
-                          ? LogCategory::kBackend
-                          : LogCategory::kNode;
+  const auto category =
+    aEvent.starts_with("rollout")  ? LogCategory::kMoves
+    : aEvent.starts_with("config") ? LogCategory::kConfig
+    : aEvent.starts_with("store")  ? LogCategory::kPlatform
+    : aEvent.starts_with("backend") || aEvent.starts_with("report")
+      ? LogCategory::kBackend
+      : LogCategory::kNode;
   LogEvent(category, LogLevel::kInfo, aEvent, { { "detail", aDetail } });
 }
 
@@ -110,40 +110,42 @@
     , mSettings(std::move(aSettings))
     , mTracer("knapweed", 0, RandomSeed())
     , mJournal(kJournalSize)
-    , mStore(mPlatform.makeStore(
-        mControlLoop, mSettings.storeAddress, kStoreTimeout, Counter("store")))
+    , mStore(mPlatform.makeStore(mControlLoop,
+                                 mSettings.storeAddress,
+                                 kStoreTimeout,
+                                 Counter("store")))
     , mDesk(mPlatform.makeDesk(*mStore))
-    , mPeers(mControlLoop,
-             [this](const char* aKind, std::size_t aSent, std::size_t aReceived) {
-               Counter(aKind)(aSent, aReceived);
-             })
+    , mPeers(
+        mControlLoop,
+        [this](const char* aKind, std::size_t aSent, std::size_t aReceived) {
+          Counter(aKind)(aSent, aReceived);
+        })
     , mGossip(
         kMesh,
         [this](const nodes::GossipMessage& aMessage) {
           mCore.Receive(aMessage);
         },
         Counter("gossip"))
-    , mCore({ mControlLoop,
-              *mStore,
-              *mDesk,
-              mPeers,
-              [this](const nodes::Datagram& aDatagram) {
-                mGossip.Send(aDatagram);
-              },
-              [this](routing::RoutingViewPtr aView) {
-                mTraffic.SetView(std::move(aView));
-              },
-              [this](const config::CallerLimits& aLimits) {
-                mTraffic.SetCallerLimits(aLimits);
-              },
-              [this](std::optional<backends::BackendServer> aBackend,
-                     std::function<void()> aDone) {
-                SetBackend(std::move(aBackend), std::move(aDone));
-              },
-              Note },
-            mSettings,
-            SelfRecord(mSettings),
-            RandomSeed())
+    , mCore(
+        { mControlLoop,
+          *mStore,
+          *mDesk,
+          mPeers,
+          [this](const nodes::Datagram& aDatagram) { mGossip.Send(aDatagram); },
+          [this](routing::RoutingViewPtr aView) {
+            mTraffic.SetView(std::move(aView));
+          },
+          [this](const config::CallerLimits& aLimits) {
+            mTraffic.SetCallerLimits(aLimits);
+          },
+          [this](std::optional<backends::BackendServer> aBackend,
+                 std::function<void()> aDone) {
+            SetBackend(std::move(aBackend), std::move(aDone));
+          },
+          Note },
+        mSettings,
+        SelfRecord(mSettings),
+        RandomSeed())
     , mTraffic({ mTrafficLoop,
                  mClaims,
                  mMetrics,
@@ -261,9 +263,8 @@
       aExchange->Respond(Answer(kBadRequest, reason));
       return;
     }
-    mCore.OnServerReport(*report, [aExchange] {
-      aExchange->Respond(Answer(kStatusOk, "{}"));
-    });
+    mCore.OnServerReport(
+      *report, [aExchange] { aExchange->Respond(Answer(kStatusOk, "{}")); });
   }
 
   void HandleLink(nodes::LinkRequest aRequest,
@@ -324,7 +325,8 @@
     }
     mStopping = true;
     const Timestamp now = mControlLoop.Now();
-    mLingerUntil = now + std::min<Milliseconds>(kLinger, mSettings.stopTime / 2);
+    mLingerUntil =
+      now + std::min<Milliseconds>(kLinger, mSettings.stopTime / 2);
     mStopBy = now + mSettings.stopTime - kStopMargin;
     Note("stopping", "");
     mTraffic.AnnounceEnd();
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t kPeersAsked = 3;
 constexpr Milliseconds kFirstRetry{ 500 };
 constexpr Milliseconds kLongestRetry{ 8000 };
-/** After a herd of starts the first peers asked know few others, so that some of
- * the own zone are asked again. */
+/** After a herd of starts the first peers asked know few others, so that some
+ * of the own zone are asked again. */
 constexpr std::uint32_t kSettleRounds = 3;
 constexpr Milliseconds kSettleDelay{ 400 };
 constexpr Milliseconds kSyncEvery{ 300'000 };
@@ -185,9 +185,7 @@
       false });
   mServices.platform.Commit(
     std::move(transaction),
-    [this](bool aDone, const store::StoreReason&) {
-      mRowWritten |= aDone;
-    });
+    [this](bool aDone, const store::StoreReason&) { mRowWritten |= aDone; });
 }
 
 std::vector<std::string>
--- a/src/node/PeerRequests.h
+++ b/src/node/PeerRequests.h
@@ -47,8 +47,7 @@
     aCore.OnReport(*report);
     return PeerAnswer(kStatusOk, "");
   }
-  return PeerAnswer(kNotFound,
-                    "path \"" + aRequest.path + "\" does not exist");
+  return PeerAnswer(kNotFound, "path \"" + aRequest.path + "\" does not exist");
 }
 
 } // namespace knapweedpaddle::node
--- a/src/node/RolloutAgent.cpp
+++ b/src/node/RolloutAgent.cpp
@@ -40,8 +40,8 @@
 Milliseconds
 CanaryTime(const operators::RolloutOrder& aOrder)
 {
-  const auto part = std::chrono::duration_cast<Milliseconds>(
-    aOrder.duration * kCanaryPart);
+  const auto part =
+    std::chrono::duration_cast<Milliseconds>(aOrder.duration * kCanaryPart);
   return std::clamp(part, kLeastCanary, kMostCanary);
 }
 
@@ -242,8 +242,8 @@
   }
   const Timestamp now = mServices.scheduler.Now();
   const auto judge = mJudges.find(aRollout.order.service);
-  const bool enoughCalls = judge != mJudges.end() &&
-                           judge->second.NewVersionCalls() >= kLeastCalls;
+  const bool enoughCalls =
+    judge != mJudges.end() && judge->second.NewVersionCalls() >= kLeastCalls;
   const bool hurries =
     now - aRollout.seenAt >= aRollout.order.duration * kLatestStart;
   return now - aRollout.stageAt >= CanaryTime(aRollout.order) &&
@@ -296,7 +296,7 @@
     return;
   }
   telling.asking = true;
-  const RolloutState state = !decided           ? RolloutState::kActive
+  const RolloutState state = !decided             ? RolloutState::kActive
                              : aRollout.condemned ? RolloutState::kRolledBack
                                                   : RolloutState::kCompleted;
   mServices.desk.ReadStatus(
--- a/src/node/StopSignals.cpp
+++ b/src/node/StopSignals.cpp
@@ -19,12 +19,13 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   const int descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-  aLoop.WatchReadable(descriptor, [descriptor, onSignal = std::move(aOnSignal)] {
-    signalfd_siginfo info{};
-    while (read(descriptor, &info, sizeof(info)) == sizeof(info)) {
-      onSignal(static_cast<int>(info.ssi_signo));
-    }
-  });
+  aLoop.WatchReadable(
+    descriptor, [descriptor, onSignal = std::move(aOnSignal)] {
+      signalfd_siginfo info{};
+      while (read(descriptor, &info, sizeof(info)) == sizeof(info)) {
+        onSignal(static_cast<int>(info.ssi_signo));
+      }
+    });
 }
 
 } // namespace knapweedpaddle::node
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -44,15 +44,14 @@
             [this](LinkRequest aRequest, const LinkResponderPtr& aResponder) {
               OnLinkRequest(std::move(aRequest), aResponder);
             })
-  , mCallers(mServices.loop,
-             mOptions.callerDialect,
-             { [this](callers::CallRequest aRequest,
-                      callers::CallCallback aCallback) {
-                CloseAfterPause();
-                return mForwarder.Forward(std::move(aRequest),
-                                          std::move(aCallback));
-              },
-               mServices.onNodeRequest })
+  , mCallers(
+      mServices.loop,
+      mOptions.callerDialect,
+      { [this](callers::CallRequest aRequest, callers::CallCallback aCallback) {
+         CloseAfterPause();
+         return mForwarder.Forward(std::move(aRequest), std::move(aCallback));
+       },
+        mServices.onNodeRequest })
 {
   mServices.loop.RunEvery(kTick, [this] { OnTick(); });
   mServices.loop.RunEvery(kEvidenceEvery, [this] {
@@ -103,7 +102,8 @@
 void
 TrafficPlane::SetCallerService(const std::string& aService)
 {
-  mServices.loop.Post([this, aService] { mCallers.SetCallerService(aService); });
+  mServices.loop.Post(
+    [this, aService] { mCallers.SetCallerService(aService); });
 }
 
 void
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -89,14 +89,14 @@
   for (std::size_t n = 0; n < values.size(); ++n) {
     const auto [end, ec] = std::from_chars(at, last, values[n]);
     const bool ends = n + 1 == values.size();
-    if (ec != std::errc() || (ends ? end != last : end == last || *end != ',')) {
+    if (ec != std::errc() ||
+        (ends ? end != last : end == last || *end != ',')) {
       return std::nullopt;
     }
     at = ends ? end : end + 1;
   }
-  return backends::ServerLoad{
-    values[0], values[1], values[2], values[3], values[4], values[5]
-  };
+  return backends::ServerLoad{ values[0], values[1], values[2],
+                               values[3], values[4], values[5] };
 }
 
 } // namespace
--- a/src/operators/Acceptor.cpp
+++ b/src/operators/Acceptor.cpp
@@ -8,9 +8,9 @@
 using config::ChangeRequest;
 using config::EntryId;
 using config::Snapshot;
+using store::Row;
 using store::StoreError;
 using store::StoreReason;
-using store::Row;
 
 namespace {
 
@@ -81,8 +81,7 @@
     return;
   }
   mPlatform.Read(
-    { store::OperationKey(aAttempt->request.operationId),
-      store::kHeadKey },
+    { store::OperationKey(aAttempt->request.operationId), store::kHeadKey },
     [this, aAttempt](const std::optional<std::vector<Row>>& aRows,
                      const StoreReason& aReason) {
       if (!aRows || aRows->size() != 2) {
@@ -264,8 +263,7 @@
           { store::ChangeKey(version - kChangesKept - n), "", true });
       }
     }
-    mPlatform.Commit(std::move(transaction),
-                     [](bool, const StoreReason&) {});
+    mPlatform.Commit(std::move(transaction), [](bool, const StoreReason&) {});
   };
   mPlatform.PutObject(
     store::SnapshotObject(version), EncodeSnapshot(*snapshot), onPut);
--- a/src/routing/Picker.cpp
+++ b/src/routing/Picker.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-constexpr double kTieNoise = 0.05; ///< spreads calls over equal candidates
+constexpr double kTieNoise = 0.05;      ///< spreads calls over equal candidates
 constexpr double kCrowdingWeight = 0.5; ///< slowdown of a full server
 constexpr double kFailureWeight = 4;    ///< cost of a failure, in service times
-constexpr double kRouteWeight = 0.05; ///< of one report in a route's average
+constexpr double kRouteWeight = 0.05;   ///< of one report in a route's average
 constexpr double kPercent = 100;
 
 } // namespace
@@ -136,9 +136,8 @@
     std::max(0.0, reported - static_cast<double>(aState.outstandingAtReport));
   const std::chrono::duration<double, std::milli> age =
     aNow - aState.reportedAt;
-  return others *
-         std::exp2(-age.count() /
-                   static_cast<double>(mOptions.loadHalfLife.count()));
+  return others * std::exp2(-age.count() /
+                            static_cast<double>(mOptions.loadHalfLife.count()));
 }
 
 double
@@ -157,12 +156,11 @@
   const double wait = turn * std::max(0.0, calls + 1 - slots) / slots;
   const double failures =
     1 + kFailureWeight * state.load.failedPercent / kPercent;
-  const double away =
-    aTarget.zone == aQuery.zone
-      ? 0
-      : std::max(service * mOptions.zonePenalty,
-                 static_cast<double>(aQuery.target.count()) *
-                   mOptions.zonePenaltyTarget);
+  const double away = aTarget.zone == aQuery.zone
+                        ? 0
+                        : std::max(service * mOptions.zonePenalty,
+                                   static_cast<double>(aQuery.target.count()) *
+                                     mOptions.zonePenaltyTarget);
   return (service * crowding + wait) * failures + away;
 }
 
@@ -192,19 +190,17 @@
   if (aCandidates.size() <= mOptions.sampled) {
     return;
   }
-  std::ranges::shuffle(aCandidates, mRandom);
+  std::shuffle(aCandidates.begin(), aCandidates.end(), mRandom);
   // Half of the sample from the own zone, if it has so many.
-  std::ranges::stable_partition(aCandidates, [&aZone](const Target* aTarget) {
-    return aTarget->zone == aZone;
-  });
-  const auto local = static_cast<std::size_t>(
-    std::ranges::count_if(aCandidates, [&aZone](const Target* aTarget) {
+  const auto away = std::stable_partition(
+    aCandidates.begin(), aCandidates.end(), [&aZone](const Target* aTarget) {
       return aTarget->zone == aZone;
-    }));
+    });
+  const auto local = static_cast<std::size_t>(away - aCandidates.begin());
   const std::size_t kept = std::min(local, mOptions.sampled / 2);
-  const auto first = aCandidates.begin() + static_cast<std::ptrdiff_t>(kept);
-  std::ranges::rotate(
-    first, aCandidates.begin() + static_cast<std::ptrdiff_t>(local), aCandidates.end());
+  std::rotate(aCandidates.begin() + static_cast<std::ptrdiff_t>(kept),
+              away,
+              aCandidates.end());
   aCandidates.resize(mOptions.sampled);
 }
 
--- a/src/routing/RoutingView.cpp
+++ b/src/routing/RoutingView.cpp
@@ -15,8 +15,7 @@
 }
 
 const config::RouteEntry*
-RoutingView::FindRoute(const std::string& aHost,
-                       const std::string& aPath) const
+RoutingView::FindRoute(const std::string& aHost, const std::string& aPath) const
 {
   return routes ? routes->Find(aHost, aPath) : nullptr;
 }
--- a/src/runtime/SocketAddress.cpp
+++ b/src/runtime/SocketAddress.cpp
@@ -14,8 +14,8 @@
   }
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  if (inet_pton(
-        AF_INET, aText.substr(0, colon).c_str(), &address.sin_addr) != 1) {
+  if (inet_pton(AF_INET, aText.substr(0, colon).c_str(), &address.sin_addr) !=
+      1) {
     return std::nullopt;
   }
   std::uint16_t port = 0;
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -60,8 +60,8 @@
 void
 StartLog(LogLevel aLevel)
 {
-  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
-    "DefaultLogDispatchCallback");
+  el::Helpers::uninstallLogDispatchCallback<
+    el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
   el::Helpers::installLogDispatchCallback<SinkCallback>("SinkCallback");
   el::Configurations configuration;
   configuration.setToDefault();
--- a/src/telemetry/LogSink.cpp
+++ b/src/telemetry/LogSink.cpp
@@ -12,7 +12,7 @@
 }
 
 void
-LogSink::Write(std::string aLine)
+LogSink::Write(const std::string& aLine)
 {
   const std::scoped_lock lock(mMutex);
   if (!IsWritable()) {
--- a/src/telemetry/LogSink.h
+++ b/src/telemetry/LogSink.h
@@ -18,7 +18,7 @@
   explicit LogSink(int aDescriptor);
 
   /** Writes a line; a longer one than a pipe takes at once is cut. */
-  void Write(std::string aLine);
+  void Write(const std::string& aLine);
 
   /** Number of lines dropped so far. */
   std::uint64_t Dropped() const;
--- a/tests/fakes/FakeFleet.cpp
+++ b/tests/fakes/FakeFleet.cpp
@@ -228,9 +228,8 @@
   report.sequence = ++aNode.reports;
   report.startedAtMs = 1;
   aNode.core->OnServerReport(report, [] {});
-  Deliver(aNode, aNode.settings.reportInterval, [this, &aNode] {
-    Report(aNode);
-  });
+  Deliver(
+    aNode, aNode.settings.reportInterval, [this, &aNode] { Report(aNode); });
 }
 
 void
@@ -333,8 +332,8 @@
   for (std::uint64_t n = 0; !running.empty() && n < kCallsPerStep; ++n) {
     const NodeState& ingress = *running[mRandom() % running.size()];
     const double draw = std::uniform_real_distribution<double>(0, 1)(mRandom);
-    const auto versions = ingress.view->VersionsFor(
-      "svc", config::CallClass::kIdempotent, draw);
+    const auto versions =
+      ingress.view->VersionsFor("svc", config::CallClass::kIdempotent, draw);
     const bool isNew = !versions.empty() && versions.front() == "v2";
     std::vector<NodeState*> owners;
     std::ranges::copy_if(
--- a/tests/fakes/FakeFleet.h
+++ b/tests/fakes/FakeFleet.h
@@ -60,9 +60,9 @@
   FakeClock clock;
   SharedPlatform shared;
   std::deque<NodeState> nodes;
-  double loss = 0;          ///< share of datagrams lost
-  bool fellBack = false;    ///< a node routed by an older version again
-  double badShare = 0;      ///< of the calls that version "v2" fails
+  double loss = 0;                ///< share of datagrams lost
+  bool fellBack = false;          ///< a node routed by an older version again
+  double badShare = 0;            ///< of the calls that version "v2" fails
   std::uint64_t toNewVersion = 0; ///< calls that version "v2" got
   std::uint64_t allCalls = 0;
 
--- a/tests/fakes/FakeMesh.cpp
+++ b/tests/fakes/FakeMesh.cpp
@@ -429,8 +429,7 @@
     if (!config::Validate(*aView->config, reason)) {
       violations.push_back("P2: " + reason.message);
     }
-    const auto row =
-      shared.table.Read({ store::ChangeKey(version) }).front();
+    const auto row = shared.table.Read({ store::ChangeKey(version) }).front();
     const auto change = config::DecodeChange(row.value, reason);
     if (version > 0 && change && change->digest != aView->config->Digest()) {
       violations.push_back("P3: version " + std::to_string(version) +
--- a/tests/fakes/FakePlatform.h
+++ b/tests/fakes/FakePlatform.h
@@ -120,13 +120,12 @@
       std::move(aCallback));
   }
 
-  void Commit(store::Transaction aTransaction,
-              DoneCallback aCallback) override
+  void Commit(store::Transaction aTransaction, DoneCallback aCallback) override
   {
     Request<bool>(
       true,
-      [this, transaction = std::move(aTransaction)](
-        store::StoreReason& aReason) {
+      [this,
+       transaction = std::move(aTransaction)](store::StoreReason& aReason) {
         ++mShared.writes;
         aReason.conflictingKeys = mShared.table.Commit(transaction);
         if (aReason.conflictingKeys.empty()) {
@@ -135,8 +134,8 @@
         aReason.code = store::StoreError::kConflict;
         return std::optional<bool>();
       },
-      [callback = std::move(aCallback)](
-        std::optional<bool> aDone, const store::StoreReason& aReason) {
+      [callback = std::move(aCallback)](std::optional<bool> aDone,
+                                        const store::StoreReason& aReason) {
         callback(aDone.has_value(), aReason);
       });
   }
@@ -152,8 +151,8 @@
         mShared.table.PutObject(aName, aBody);
         return std::optional(true);
       },
-      [callback = std::move(aCallback)](
-        std::optional<bool> aDone, const store::StoreReason& aReason) {
+      [callback = std::move(aCallback)](std::optional<bool> aDone,
+                                        const store::StoreReason& aReason) {
         callback(aDone.has_value(), aReason);
       });
   }
@@ -186,9 +185,8 @@
     const PlatformFault fault = mPlan ? mPlan(aIsWrite) : PlatformFault::kNone;
     const Timestamp now = mClock.Now();
     const auto answer =
-      [this, dead = mDead, aCallback](Timestamp aWhen,
-                                      std::optional<T> aResult,
-                                      store::StoreReason aReason) {
+      [this, dead = mDead, aCallback](
+        Timestamp aWhen, std::optional<T> aResult, store::StoreReason aReason) {
         mClock.At(aWhen, [dead, aCallback, aResult, aReason] {
           if (!*dead) {
             aCallback(aResult, aReason);
--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -26,9 +26,8 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  REQUIRE(bind(probe,
-               reinterpret_cast<sockaddr*>(&address),
-               sizeof(address)) == 0);
+  REQUIRE(bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+          0);
   socklen_t size = sizeof(address);
   getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
   close(probe);
@@ -53,9 +52,8 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(static_cast<std::uint16_t>(
       std::stoi(aAddress.substr(aAddress.find(':') + 1))));
-    REQUIRE(connect(fd,
-                    reinterpret_cast<sockaddr*>(&address),
-                    sizeof(address)) == 0);
+    REQUIRE(
+      connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
     return std::make_unique<RawPeer>(fd);
   }
 
@@ -132,9 +130,8 @@
     sockaddr_in bound{};
     bound.sin_family = AF_INET;
     bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(mListener,
-                 reinterpret_cast<sockaddr*>(&bound),
-                 sizeof(bound)) == 0);
+    REQUIRE(
+      bind(mListener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
     listen(mListener, 8);
     socklen_t size = sizeof(bound);
     getsockname(mListener, reinterpret_cast<sockaddr*>(&bound), &size);
@@ -183,12 +180,12 @@
   request.method = "GET";
   request.target = "/x";
   request.headers = { { "Call-Id", "one" } };
-  aClient.Send(request,
-               Milliseconds(1000),
-               [&](std::optional<Response> aResponse,
-                   const ClientReason& aReason) {
-                 outcome = { std::move(aResponse), aReason, true };
-               });
+  aClient.Send(
+    request,
+    Milliseconds(1000),
+    [&](std::optional<Response> aResponse, const ClientReason& aReason) {
+      outcome = { std::move(aResponse), aReason, true };
+    });
   bool scripted = false;
   RunUntil(aLoop, [&] {
     aServer.Accept();
@@ -404,7 +401,7 @@
   const auto id = client.Send(
     request,
     Milliseconds(1000),
-    [&](std::optional<Response>, const ClientReason&) { called = true; });
+    [&](const std::optional<Response>&, const ClientReason&) { called = true; });
   REQUIRE(RunUntil(loop, [&] {
     server.Accept();
     if (server.peer) {
--- a/tests/http/MessageParserTest.cpp
+++ b/tests/http/MessageParserTest.cpp
@@ -102,8 +102,7 @@
         ParseError::kHeadersTooLarge);
   CHECK(ErrorOf(head + "Content-Length: 11\r\n\r\n", limits) ==
         ParseError::kBodyTooLarge);
-  CHECK(ErrorOf(head +
-                  "Transfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n",
+  CHECK(ErrorOf(head + "Transfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n",
                 limits) == ParseError::kBodyTooLarge);
 }
 
--- a/tests/moves/RolloutTest.cpp
+++ b/tests/moves/RolloutTest.cpp
@@ -150,11 +150,10 @@
           after[route].failures +=
             BadOf(3, bad ? fault.failures : 0.01, random);
           after[route].slow += BadOf(3, bad ? fault.slow : 0.07, random);
-          judge.Report(Counted(1,
-                               "route" + std::to_string(route),
-                               before[route],
-                               after[route]),
-                       kNow + Milliseconds(250 * step));
+          judge.Report(
+            Counted(
+              1, "route" + std::to_string(route), before[route], after[route]),
+            kNow + Milliseconds(250 * step));
         }
         if (!judge.Verdict(kNow + Milliseconds(250 * step)).empty()) {
           condemnedAt = step;
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -1,4 +1,5 @@
-// Configurations and rollouts in a fleet, while nodes, peers and the store fail.
+// Configurations and rollouts in a fleet, while nodes, peers and the store
+// fail.
 
 #include "fakes/FakeFleet.h"
 
@@ -165,8 +166,7 @@
       INFO("seed " << seed << ", " << deaths << " deaths");
       const auto fleet = Settled(seed);
       for (int n = 0; n < 6; ++n) {
-        fleet->Start(
-          fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
+        fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
       }
       fleet->clock.RunFor(Milliseconds(2000));
       fleet->OrderRollout("v2", kRollout);
@@ -188,8 +188,7 @@
       INFO("seed " << seed << (storeFails ? ", store fails for half" : ""));
       const auto fleet = Settled(seed);
       for (int n = 0; n < 6; ++n) {
-        fleet->Start(
-          fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
+        fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
       }
       fleet->clock.RunFor(Milliseconds(2000));
       fleet->badShare = 0.5;
--- a/tests/nodes/LinkTest.cpp
+++ b/tests/nodes/LinkTest.cpp
@@ -221,7 +221,8 @@
 
 TEST_CASE("a call that can't be sent again waits a silent link out", "[links]")
 {
-  const Outcome outcome = CallThroughRelay(60, true, config::CallClass::kAtMostOnce);
+  const Outcome outcome =
+    CallThroughRelay(60, true, config::CallClass::kAtMostOnce);
   CHECK_FALSE(outcome.answered);
   CHECK(outcome.error == LinkError::kTimeout);
 }
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -67,8 +67,8 @@
   const auto config = DecodeConfig(kConfig, reason);
   REQUIRE(config);
   CHECK(config->version == 7);
-  const auto* a = config->Get<config::RouteEntry>(
-    config::EntryKind::kRoute, "r-a");
+  const auto* a =
+    config->Get<config::RouteEntry>(config::EntryKind::kRoute, "r-a");
   REQUIRE(a);
   CHECK(a->host == "a.example");
   CHECK(a->split.size() == 2);
@@ -77,8 +77,8 @@
   CHECK(a->slowAfter == Milliseconds(300));
   CHECK(a->priority == 2);
   CHECK(a->maxTries == 2);
-  const auto* b = config->Get<config::RouteEntry>(
-    config::EntryKind::kRoute, "r-b");
+  const auto* b =
+    config->Get<config::RouteEntry>(config::EntryKind::kRoute, "r-b");
   REQUIRE(b);
   CHECK(b->callClass == config::CallClass::kAtMostOnce);
   CHECK(config->callerLimits.bodyBytes == 1000);
@@ -91,8 +91,7 @@
   const auto config =
     DecodeConfig(Replaced(kConfig, "\"safe\"", "\"other\""), reason);
   REQUIRE(config);
-  CHECK(config
-          ->Get<config::RouteEntry>(config::EntryKind::kRoute, "r-a")
+  CHECK(config->Get<config::RouteEntry>(config::EntryKind::kRoute, "r-a")
           ->callClass == config::CallClass::kAtMostOnce);
 }
 
--- a/tests/routing/RoutingTest.cpp
+++ b/tests/routing/RoutingTest.cpp
@@ -43,7 +43,8 @@
 {
   std::size_t local = 0;
   for (std::size_t n = 0; n < aTries; ++n) {
-    const Target* it = aPicker.Pick(aView, { "svc", "v1", "here", {}, "r", {} }, kNow);
+    const Target* it =
+      aPicker.Pick(aView, { "svc", "v1", "here", {}, "r", {} }, kNow);
     local += it && it->zone == "here" ? 1 : 0;
   }
   return local;
@@ -80,7 +81,8 @@
   fail(2);
   std::map<nodes::NodeId, int> picks;
   for (int n = 0; n < 200; ++n) {
-    ++picks[picker.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)->node];
+    ++picks[picker.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)
+              ->node];
   }
   CHECK(picks.size() == 3);
   CHECK_FALSE(
@@ -252,10 +254,9 @@
   report(2, "long", 100, 60);
   const auto pick = [&](const std::string& aRoute, int aTargetMs) {
     return picker
-      .Pick(
-        view,
-        { "svc", "v1", "here", {}, aRoute, Milliseconds(aTargetMs) },
-        kNow)
+      .Pick(view,
+            { "svc", "v1", "here", {}, aRoute, Milliseconds(aTargetMs) },
+            kNow)
       ->node;
   };
   CHECK(pick("short", 100) == nodes::NodeId{ 1 });
--- a/tests/standins/PlatformStandin.cpp
+++ b/tests/standins/PlatformStandin.cpp
@@ -224,8 +224,7 @@
     const std::string from = Parameter(aRequest, "from");
     const std::string to = Parameter(aRequest, "to");
     const std::string limit = Parameter(aRequest, "limit");
-    const std::size_t most =
-      limit.empty() ? kMostRows : std::stoul(limit);
+    const std::size_t most = limit.empty() ? kMostRows : std::stoul(limit);
     const std::string prefix = table == kDefaultTable ? "" : table + "/";
     std::vector<store::Row> rows;
     for (auto& it : mState->table.ReadRange(prefix, prefix + from, kMostRows)) {
@@ -243,13 +242,15 @@
   {
     const auto failed = mState->table.Commit(TransactionFrom(aJson));
     if (failed.empty()) {
-      return { Code::Ok,
-               Json{ { "ver", mState->table.Revision() }, { "now-s", 0.0 } }
-                 .dump() };
+      return {
+        Code::Ok,
+        Json{ { "ver", mState->table.Revision() }, { "now-s", 0.0 } }.dump()
+      };
     }
-    return { Code::Precondition_Failed,
-             RowsJson(mState->table.Read(failed), mState->table.Revision())
-               .dump() };
+    return {
+      Code::Precondition_Failed,
+      RowsJson(mState->table.Read(failed), mState->table.Revision()).dump()
+    };
   }
 
   std::shared_ptr<State> mState;
--- a/tests/standins/Table.h
+++ b/tests/standins/Table.h
@@ -15,8 +15,8 @@
   std::vector<store::Row> Read(const std::vector<std::string>& aKeys) const;
 
   std::vector<store::Row> ReadRange(const std::string& aPrefix,
-                                       const std::string& aFirst,
-                                       std::size_t aLimit) const;
+                                    const std::string& aFirst,
+                                    std::size_t aLimit) const;
 
   /** Returns all rows of a table; keys begin with the table's name. */
   store::TableNews ReadTable(const std::string& aTable) const;
