--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -398,10 +398,10 @@
   Request request;
   request.method = "GET";
   request.target = "/x";
-  const auto id = client.Send(
-    request,
-    Milliseconds(1000),
-    [&](const std::optional<Response>&, const ClientReason&) { called = true; });
+  const auto id = client.Send(request,
+                              Milliseconds(1000),
+                              [&](const std::optional<Response>&,
+                                  const ClientReason&) { called = true; });
   REQUIRE(RunUntil(loop, [&] {
     server.Accept();
     if (server.peer) {
