--- a/include/knapweedpaddle/backends/CallOwner.h
+++ b/include/knapweedpaddle/backends/CallOwner.h
@@ -113,6 +113,9 @@
   /** Returns the server's load as a call of a route finds it. */
   ServerLoad Load(const std::string& aRoute) const;
 
+  /** Counts calls under way that are slow already, before they end. */
+  void CountOverdue();
+
   const EvidenceTable& Evidence() const;
 
 private:
--- a/src/backends/CallOwner.cpp
+++ b/src/backends/CallOwner.cpp
@@ -53,6 +53,7 @@
     callers::CallCallback callback;
     bool holdsSlot = false;
     bool dispatched = false;
+    bool countedSlow = false; ///< while it was still under way
     http::Client::RequestId request = 0;
     Timestamp sentAt;
     std::int64_t sentAtWallMicroseconds = 0;
@@ -123,6 +124,22 @@
              static_cast<std::uint32_t>(std::lround(mFailed * kPercent)) };
   }
 
+  void CountOverdue()
+  {
+    const Timestamp now = Now();
+    for (auto& [id, running] : mRunning) {
+      if (!running.dispatched || running.countedSlow ||
+          now - running.sentAt <= running.call.slowAfter) {
+        continue;
+      }
+      running.countedSlow = true;
+      EvidenceSums& sums =
+        mEvidence[{ running.call.version, running.call.route }];
+      ++sums.calls;
+      ++sums.slow;
+    }
+  }
+
   const EvidenceTable& Evidence() const { return mEvidence; }
 
 private:
@@ -337,7 +354,7 @@
       // Its time says nothing of the server's speed.
       running.dispatched = false;
     } else {
-      AddEvidence(running.call,
+      AddEvidence(running,
                   elapsed,
                   result.outcome == CallOutcome::kAnswered &&
                     result.status < kFirstServerError);
@@ -392,18 +409,21 @@
     return result;
   }
 
-  void AddEvidence(const OwnedCall& aCall,
+  void AddEvidence(const Running& aRunning,
                    Microseconds aElapsed,
                    bool aSucceeded)
   {
-    EvidenceSums& sums = mEvidence[{ aCall.version, aCall.route }];
-    ++sums.calls;
+    const OwnedCall& call = aRunning.call;
+    EvidenceSums& sums = mEvidence[{ call.version, call.route }];
     sums.failures += aSucceeded ? 0 : 1;
-    sums.slow += aElapsed > aCall.slowAfter ? 1 : 0;
+    if (!aRunning.countedSlow) {
+      ++sums.calls;
+      sums.slow += aElapsed > call.slowAfter ? 1 : 0;
+    }
     mFailed += kFailureWeight * ((aSucceeded ? 0 : 1) - mFailed);
     const double elapsedMs =
       std::chrono::duration<double, std::milli>(aElapsed).count();
-    const auto [it, isNew] = mRouteMs.try_emplace(aCall.route, elapsedMs);
+    const auto [it, isNew] = mRouteMs.try_emplace(call.route, elapsedMs);
     it->second += kRouteWeight * (elapsedMs - it->second);
   }
 
@@ -530,6 +550,12 @@
   return mImpl->Load(aRoute);
 }
 
+void
+CallOwner::CountOverdue()
+{
+  mImpl->CountOverdue();
+}
+
 const EvidenceTable&
 CallOwner::Evidence() const
 {
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -13,7 +13,7 @@
 constexpr Milliseconds kTick{ 100 };
 constexpr Milliseconds kLongestGap{ 2000 };
 constexpr Milliseconds kStaleGap{ 250 };
-constexpr Milliseconds kEvidenceEvery{ 500 };
+constexpr Milliseconds kEvidenceEvery{ 250 };
 constexpr int kBadRequest = 400;
 
 } // namespace
@@ -55,6 +55,7 @@
 {
   mServices.loop.RunEvery(kTick, [this] { OnTick(); });
   mServices.loop.RunEvery(kEvidenceEvery, [this] {
+    mOwner.CountOverdue();
     if (mOwner.Evidence() != mReported) {
       mReported = mOwner.Evidence();
       mServices.onEvidence(mReported);
--- /dev/null
+++ b/tests/backends/CallOwnerTest.cpp
@@ -0,0 +1,118 @@
+// The owner's account of its backend server, which here is an HTTP server on
+// the same loop.
+
+#include "knapweedpaddle/backends/CallOwner.h"
+#include "knapweedpaddle/http/Server.h"
+#include "knapweedpaddle/telemetry/Metrics.h"
+#include "knapweedpaddle/telemetry/Tracer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace knapweedpaddle;
+using namespace knapweedpaddle::backends;
+
+namespace {
+
+constexpr const char* kAddress = "127.0.0.1:17391";
+constexpr Milliseconds kSlowAfter{ 40 };
+
+class NoClaims : public ClaimService
+{
+public:
+  void Claim(const std::string&,
+             const std::string&,
+             Callback aCallback) override
+  {
+    aCallback(ClaimOutcome::kUnavailable);
+  }
+};
+
+struct Fixture
+{
+  Fixture()
+    : tracer("test", 0, 1)
+    , server(loop,
+             [this](const http::ExchangePtr& aExchange) {
+               pending.push_back(aExchange);
+             })
+    , owner({ loop, claims, metrics, tracer, {} }, 0)
+  {
+    REQUIRE(server.Listen(kAddress));
+    owner.SetBackend(BackendServer{ kAddress, "svc", "v2", 4, "i-1" });
+  }
+
+  void Run()
+  {
+    OwnedCall call;
+    call.callId = "call";
+    call.service = "svc";
+    call.version = "v2";
+    call.route = "route";
+    call.slowAfter = kSlowAfter;
+    call.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    call.method = "GET";
+    call.path = "/";
+    owner.Run(std::move(call),
+              [this](const callers::CallResult&) { ++answered; });
+  }
+
+  void RunLoopFor(Milliseconds aTime)
+  {
+    loop.RunAfter(aTime, [this] { loop.Stop(); });
+    loop.Run();
+  }
+
+  runtime::EventLoop loop;
+  NoClaims claims;
+  telemetry::Metrics metrics;
+  telemetry::Tracer tracer;
+  std::vector<http::ExchangePtr> pending;
+  http::Server server;
+  CallOwner owner;
+  int answered = 0;
+};
+
+} // namespace
+
+TEST_CASE("a slow call is evidence before it ends, and counts once", "[owner]")
+{
+  Fixture it;
+  it.Run();
+  it.RunLoopFor(kSlowAfter + Milliseconds(40));
+  REQUIRE(it.pending.size() == 1);
+  it.owner.CountOverdue();
+  it.owner.CountOverdue();
+  const EvidenceSums early = it.owner.Evidence().at({ "v2", "route" });
+  CHECK(early.calls == 1);
+  CHECK(early.slow == 1);
+  http::Response response;
+  response.status = 500;
+  it.pending.front()->Respond(response);
+  it.RunLoopFor(Milliseconds(40));
+  CHECK(it.answered == 1);
+  const EvidenceSums after = it.owner.Evidence().at({ "v2", "route" });
+  CHECK(after.calls == 1);
+  CHECK(after.slow == 1);
+  CHECK(after.failures == 1);
+}
+
+TEST_CASE("a server that takes no more calls gets none that wait", "[owner]")
+{
+  Fixture it;
+  for (int n = 0; n < 6; ++n) {
+    it.Run();
+  }
+  it.RunLoopFor(Milliseconds(40));
+  REQUIRE(it.pending.size() == 4);
+  it.owner.SetBackend(std::nullopt);
+  it.RunLoopFor(Milliseconds(20));
+  CHECK(it.answered == 2);
+  http::Response response;
+  response.status = 200;
+  for (const auto& exchange : std::exchange(it.pending, {})) {
+    exchange->Respond(response);
+  }
+  it.RunLoopFor(Milliseconds(40));
+  CHECK(it.answered == 6);
+  CHECK(it.pending.empty());
+}
