--- a/src/node/ControlCore.cpp
+++ b/src/node/ControlCore.cpp
@@ -1,10 +1,10 @@
 #include "knapweedpaddle/node/ControlCore.h"
 
+#include "MemberTargets.h"
 #include "knapweedpaddle/nodes/ZoneReaders.h"
 
 namespace knapweedpaddle::node {
 
-using nodes::Liveness;
 using nodes::MemberRecord;
 using nodes::MemberState;
 
@@ -235,22 +235,7 @@
   auto view = std::make_shared<routing::RoutingView>(mConfig.Store().Current());
   view->open = IsServing();
   view->shares = mMoves.Board().Shares(*view->config, Members().Self().zone);
-  const auto add = [&view](const MemberRecord& aRecord, bool aSuspect) {
-    if (aRecord.state == MemberState::kServing && !aRecord.service.empty()) {
-      view->targets[aRecord.service].push_back({ aRecord.node,
-                                                 LinkAddress(aRecord),
-                                                 aRecord.zone,
-                                                 aRecord.version,
-                                                 aRecord.slots,
-                                                 aSuspect });
-    }
-  };
-  add(Members().Self(), false);
-  for (const auto& [id, member] : Members().Members()) {
-    if (member.liveness != Liveness::kDead) {
-      add(member.record, member.liveness == Liveness::kSuspect);
-    }
-  }
+  AddTargets(*view, Members());
   mServices.publish(std::move(view));
   mPublishedMembers = Members().Changes();
   mViewDirty = false;
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -1,12 +1,12 @@
 #include "knapweedpaddle/node/FleetCore.h"
 
+#include "MemberTargets.h"
 #include "knapweedpaddle/nodes/ZoneReaders.h"
 
 namespace knapweedpaddle::node {
 
 using backends::ReportVerdict;
 using backends::ServerReport;
-using nodes::Liveness;
 using nodes::MemberRecord;
 using nodes::MemberState;
 
@@ -247,22 +247,7 @@
     std::make_shared<routing::RoutingView>(mConfig.Current(), mRoutes);
   view->open = true;
   view->retries = RetryShare();
-  const auto add = [&view](const MemberRecord& aRecord, bool aSuspect) {
-    if (aRecord.state == MemberState::kServing && !aRecord.service.empty()) {
-      view->targets[aRecord.service].push_back({ aRecord.node,
-                                                 LinkAddress(aRecord),
-                                                 aRecord.zone,
-                                                 aRecord.version,
-                                                 aRecord.slots,
-                                                 aSuspect });
-    }
-  };
-  add(Members().Self(), false);
-  for (const auto& [id, member] : Members().Members()) {
-    if (member.liveness != Liveness::kDead) {
-      add(member.record, member.liveness == Liveness::kSuspect);
-    }
-  }
+  AddTargets(*view, Members());
   for (const auto& [id, entry] : mConfig.Current()->entries) {
     if (id.kind == config::EntryKind::kService) {
       view->shares[id.name] = mRollouts.Board().ShareOf(id.name);
