--- a/tests/backends/CallOwnerTest.cpp
+++ b/tests/backends/CallOwnerTest.cpp
@@ -2,6 +2,8 @@
 // the same loop.
 
 #include "knapweedpaddle/backends/CallOwner.h"
+
+#include "fakes/FreeAddress.h"
 #include "knapweedpaddle/http/Server.h"
 #include "knapweedpaddle/telemetry/Metrics.h"
 #include "knapweedpaddle/telemetry/Tracer.h"
@@ -13,7 +15,6 @@
 
 namespace {
 
-constexpr const char* kAddress = "127.0.0.1:17391";
 constexpr Milliseconds kSlowAfter{ 40 };
 
 class NoClaims : public ClaimService
@@ -37,8 +38,9 @@
              })
     , owner({ loop, claims, metrics, tracer, {} }, 0)
   {
-    REQUIRE(server.Listen(kAddress));
-    owner.SetBackend(BackendServer{ kAddress, "svc", "v2", 4, "i-1" });
+    const std::string address = fakes::FreeAddress();
+    REQUIRE(server.Listen(address));
+    owner.SetBackend(BackendServer{ address, "svc", "v2", 4, "i-1" });
   }
 
   void Run()
--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -1,5 +1,6 @@
 // The server and the client over loopback: what either side does to the other.
 
+#include "fakes/FreeAddress.h"
 #include "knapweedpaddle/http/Client.h"
 #include "knapweedpaddle/http/Server.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
@@ -12,28 +13,13 @@
 
 using namespace knapweedpaddle;
 using namespace knapweedpaddle::http;
+using fakes::FreeAddress;
 using runtime::EventLoop;
 
 namespace {
 
 constexpr Milliseconds kGiveUp{ 3000 };
 
-/** Returns a loopback address with a port that was free a moment ago. */
-std::string
-FreeAddress()
-{
-  const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  REQUIRE(bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
-          0);
-  socklen_t size = sizeof(address);
-  getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-  close(probe);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 /** A plain socket, for what no proper peer does. */
 class RawPeer
 {
