--- a/include/knapweedpaddle/settings/FleetSettings.h
+++ b/include/knapweedpaddle/settings/FleetSettings.h
@@ -25,8 +25,6 @@
   Milliseconds stopTime{ 6000 };       ///< from a stop signal to the kill
   double retryRatio = 0.2;             ///< retries for each call, all nodes
   double retrySlack = 60;              ///< further retries in each window
-  Milliseconds retryWindow{ 10'000 };
-  double exposeShare = 0.1; ///< of a service's calls that a bad version may get
 
   bool operator==(const FleetSettings&) const = default;
 };
--- a/tests/backends/CallOwnerTest.cpp
+++ b/tests/backends/CallOwnerTest.cpp
@@ -7,6 +7,7 @@
 #include "knapweedpaddle/http/Server.h"
 #include "knapweedpaddle/telemetry/Metrics.h"
 #include "knapweedpaddle/telemetry/Tracer.h"
+#include "node/NoClaims.h"
 
 #include <catch2/catch.hpp>
 
@@ -17,17 +18,6 @@
 
 constexpr Milliseconds kSlowAfter{ 40 };
 
-class NoClaims : public ClaimService
-{
-public:
-  void Claim(const std::string&,
-             const std::string&,
-             Callback aCallback) override
-  {
-    aCallback(ClaimOutcome::kUnavailable);
-  }
-};
-
 struct Fixture
 {
   Fixture()
@@ -65,7 +55,7 @@
   }
 
   runtime::EventLoop loop;
-  NoClaims claims;
+  node::NoClaims claims;
   telemetry::Metrics metrics;
   telemetry::Tracer tracer;
   std::vector<http::ExchangePtr> pending;
