In overload, slots go to calls that can still be on time

Cause: waiting calls went by the target time of the try alone. A caller's second try counted as new, and a call that had missed its target went first. Callers send what is left of their time, so the ingress learns a route's whole time budget and dates the target from the first try; the queue puts calls that will be late behind the others, for half a target time at most.

--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -34,16 +34,22 @@
   Timestamp deadline;
   std::uint32_t priority = 0; ///< 0 is the most urgent
   Milliseconds target{ 0 };   ///< in which an answer is wanted; 0: none
-  Timestamp targetAt{};       ///< when that time ends; earlier ones go first
+  /** When that time ends, counted from the caller's first try; nothing: target
+   * from now. */
+  Timestamp targetAt{};
   std::string route;
   double serviceMs = 0; ///< expected time at the backend server
+  Timestamp giveUpAt{}; ///< set by the queue for a call that will be late
 };
 
 /**
  * Admits calls to the backend server's slots. Some slots are kept for calls of
  * class check, which also wait before all others; the others wait by target
  * time. A call is refused at once when the wait that the recent service time
- * suggests would outlast its deadline, or most of its target time.
+ * suggests would outlast its deadline, or most of what is left of its target
+ * time. Calls that will miss their target anyway wait behind those that can
+ * still meet it, and not for long: in overload a slot is worth most to a call
+ * that is answered on time.
  *
  * Thread safety: the traffic thread only.
  */
@@ -95,18 +101,29 @@
   std::uint32_t Slots() const { return mSlots; }
   /** Returns the moving average of a call's time at the backend server. */
   double ServiceMs() const { return mServiceMs; }
-  std::size_t Queued() const { return mChecks.size() + mOthers.size(); }
+  std::size_t Queued() const
+  {
+    return mChecks.size() + mOthers.size() + mLate.size();
+  }
 
 private:
   bool HasSlotFor(config::CallClass aClass) const;
   std::uint32_t& BusyOf(config::CallClass aClass);
-  Milliseconds ExpectedWait(const SlotRequest& aRequest) const;
-  Milliseconds LongestWait(const SlotRequest& aRequest, Timestamp aNow) const;
+  Milliseconds ExpectedWait(const SlotRequest& aRequest, bool aLate) const;
+  Milliseconds LongestWait(const SlotRequest& aRequest,
+                           bool aLate,
+                           Timestamp aNow) const;
   std::optional<SlotRefusal> RefusalFor(const SlotRequest& aRequest,
+                                        bool aLate,
                                         Timestamp aNow) const;
   std::deque<SlotRequest>::const_iterator PlaceOf(
     const SlotRequest& aRequest) const;
+  using Waiting = std::deque<SlotRequest>;
+
+  std::array<Waiting*, 3> Queues() { return { &mChecks, &mOthers, &mLate }; }
   void RefuseQueued();
+  void QueueLate(SlotRequest aRequest, Timestamp aNow);
+  void SetAsideLate(Timestamp aNow);
   void GrantNext(Timestamp aNow);
 
   std::uint32_t mCheckSlots;
@@ -119,7 +136,8 @@
   double mServed = 0;    ///< calls in it, up to its span
   bool mDraining = false;
   std::deque<SlotRequest> mChecks;
-  std::deque<SlotRequest> mOthers;
+  std::deque<SlotRequest> mOthers; ///< by targetAt
+  std::deque<SlotRequest> mLate;   ///< will miss their target; the oldest first
 };
 
 } // namespace knapweedpaddle::backends
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -14,8 +14,33 @@
 constexpr double kServiceMargin = 1.6; ///< over the mean, kept of the target
 constexpr double kWaitPart = 0.8;      ///< of what is left of the target then
 constexpr double kLeastWaitPart = 0.2; ///< of the target, always allowed
+constexpr double kLateWaitPart = 0.5;  ///< of the target, for late calls
 constexpr double kServiceSpan = 12;    ///< calls that the average remembers
 
+Milliseconds
+LeftOfTarget(const SlotRequest& aRequest, Timestamp aNow)
+{
+  return aRequest.targetAt == Timestamp{}
+           ? aRequest.target
+           : std::chrono::duration_cast<Milliseconds>(aRequest.targetAt - aNow);
+}
+
+/** True when a call would miss its target even if it got a slot now. */
+bool
+IsLate(const SlotRequest& aRequest, Timestamp aNow)
+{
+  return aRequest.target > Milliseconds(0) &&
+         static_cast<double>(LeftOfTarget(aRequest, aNow).count()) <
+           aRequest.serviceMs;
+}
+
+Milliseconds
+PartOf(Milliseconds aTime, double aPart)
+{
+  return Milliseconds(
+    static_cast<std::int64_t>(static_cast<double>(aTime.count()) * aPart));
+}
+
 } // namespace
 
 SlotQueue::SlotQueue(std::uint32_t aCheckSlots, Granted aGranted)
@@ -42,19 +67,25 @@
     aRefusal = SlotRefusal::kDraining;
     return std::nullopt;
   }
-  if (HasSlotFor(aRequest.callClass)) {
+  const bool isLate = IsLate(aRequest, aNow);
+  const bool hasSlot = HasSlotFor(aRequest.callClass);
+  const auto refusal =
+    hasSlot ? std::nullopt : RefusalFor(aRequest, isLate, aNow);
+  if (!isLate) {
+    mBalance.Note(aRequest.route, aRequest.priority, !refusal, aNow);
+  }
+  if (hasSlot) {
     ++BusyOf(aRequest.callClass);
-    mBalance.Note(aRequest.route, aRequest.priority, true, aNow);
     return Answer::kTaken;
   }
-  const auto refusal = RefusalFor(aRequest, aNow);
-  mBalance.Note(aRequest.route, aRequest.priority, !refusal, aNow);
   if (refusal) {
     aRefusal = *refusal;
     return std::nullopt;
   }
   if (aRequest.callClass == config::CallClass::kCheck) {
     mChecks.push_back(aRequest);
+  } else if (isLate) {
+    QueueLate(aRequest, aNow);
   } else {
     mOthers.insert(PlaceOf(aRequest), aRequest);
   }
@@ -82,24 +113,36 @@
   const auto isIt = [aId](const SlotRequest& aRequest) {
     return aRequest.id == aId;
   };
-  return std::erase_if(mChecks, isIt) + std::erase_if(mOthers, isIt) > 0;
+  std::size_t erased = 0;
+  for (auto* queue : Queues()) {
+    erased += std::erase_if(*queue, isIt);
+  }
+  return erased > 0;
 }
 
 void
 SlotQueue::Expire(Timestamp aNow)
 {
-  std::vector<std::uint64_t> expired;
-  for (auto* queue : { &mChecks, &mOthers }) {
-    std::erase_if(*queue, [&](const SlotRequest& aRequest) {
-      if (aRequest.deadline > aNow + kExpiryLead) {
+  std::vector<std::pair<std::uint64_t, SlotRefusal>> expired;
+  const auto expire = [&](Waiting& aQueue, SlotRefusal aRefusal, auto aIsOver) {
+    std::erase_if(aQueue, [&](const SlotRequest& aRequest) {
+      if (!aIsOver(aRequest)) {
         return false;
       }
-      expired.push_back(aRequest.id);
+      expired.emplace_back(aRequest.id, aRefusal);
       return true;
     });
+  };
+  for (auto* queue : Queues()) {
+    expire(*queue, SlotRefusal::kDeadlineTooNear, [aNow](const auto& aRequest) {
+      return aRequest.deadline <= aNow + kExpiryLead;
+    });
   }
-  for (const auto id : expired) {
-    mGranted(id, SlotRefusal::kDeadlineTooNear);
+  expire(mLate, SlotRefusal::kWaitTooLong, [aNow](const auto& aRequest) {
+    return aRequest.giveUpAt <= aNow;
+  });
+  for (const auto& [id, refusal] : expired) {
+    mGranted(id, refusal);
   }
 }
 
@@ -113,13 +156,29 @@
 void
 SlotQueue::RefuseQueued()
 {
-  for (auto* queue : { &mChecks, &mOthers }) {
+  for (auto* queue : Queues()) {
     for (const auto& it : std::exchange(*queue, {})) {
       mGranted(it.id, SlotRefusal::kDraining);
     }
   }
 }
 
+void
+SlotQueue::QueueLate(SlotRequest aRequest, Timestamp aNow)
+{
+  aRequest.giveUpAt = aNow + PartOf(aRequest.target, kLateWaitPart);
+  mLate.push_back(std::move(aRequest));
+}
+
+void
+SlotQueue::SetAsideLate(Timestamp aNow)
+{
+  while (!mOthers.empty() && IsLate(mOthers.front(), aNow)) {
+    QueueLate(std::move(mOthers.front()), aNow);
+    mOthers.pop_front();
+  }
+}
+
 bool
 SlotQueue::HasSlotFor(config::CallClass aClass) const
 {
@@ -137,16 +196,19 @@
 }
 
 std::optional<SlotRefusal>
-SlotQueue::RefusalFor(const SlotRequest& aRequest, Timestamp aNow) const
+SlotQueue::RefusalFor(const SlotRequest& aRequest,
+                      bool aLate,
+                      Timestamp aNow) const
 {
   if (Queued() >= kQueuePerSlot * mSlots) {
     return SlotRefusal::kQueueFull;
   }
-  const Milliseconds wait = ExpectedWait(aRequest);
+  const Milliseconds wait = ExpectedWait(aRequest, aLate);
   if (aNow + wait >= aRequest.deadline) {
     return SlotRefusal::kDeadlineTooNear;
   }
-  if (aRequest.target > Milliseconds(0) && wait > LongestWait(aRequest, aNow)) {
+  if (aRequest.target > Milliseconds(0) &&
+      wait > LongestWait(aRequest, aLate, aNow)) {
     return SlotRefusal::kWaitTooLong;
   }
   return std::nullopt;
@@ -160,22 +222,29 @@
 }
 
 Milliseconds
-SlotQueue::LongestWait(const SlotRequest& aRequest, Timestamp aNow) const
+SlotQueue::LongestWait(const SlotRequest& aRequest,
+                       bool aLate,
+                       Timestamp aNow) const
 {
-  const auto target = static_cast<double>(aRequest.target.count());
-  const double service = aRequest.serviceMs * kServiceMargin;
-  const double wait =
-    std::max((target - service) * kWaitPart, target * kLeastWaitPart);
-  const double factor =
-    mBalance.WaitFactor(aRequest.route, aRequest.priority, aNow);
-  return Milliseconds(static_cast<std::int64_t>(wait * factor));
+  const Milliseconds least = PartOf(aRequest.target, kLeastWaitPart);
+  if (aLate) {
+    return least;
+  }
+  const Milliseconds service(
+    static_cast<std::int64_t>(aRequest.serviceMs * kServiceMargin));
+  const Milliseconds wait =
+    std::max(PartOf(LeftOfTarget(aRequest, aNow) - service, kWaitPart), least);
+  return PartOf(wait,
+                mBalance.WaitFactor(aRequest.route, aRequest.priority, aNow));
 }
 
 Milliseconds
-SlotQueue::ExpectedWait(const SlotRequest& aRequest) const
+SlotQueue::ExpectedWait(const SlotRequest& aRequest, bool aLate) const
 {
-  const auto ahead = mChecks.size() + static_cast<std::size_t>(
-                                        PlaceOf(aRequest) - mOthers.begin());
+  const auto ahead =
+    aLate ? Queued()
+          : mChecks.size() +
+              static_cast<std::size_t>(PlaceOf(aRequest) - mOthers.begin());
   const double rounds =
     static_cast<double>(ahead + 1) / static_cast<double>(std::max(mSlots, 1U));
   return Milliseconds(static_cast<std::int64_t>(mServiceMs * rounds));
@@ -185,7 +254,8 @@
 SlotQueue::GrantNext(Timestamp aNow)
 {
   Expire(aNow);
-  for (auto* queue : { &mChecks, &mOthers }) {
+  SetAsideLate(aNow);
+  for (auto* queue : Queues()) {
     if (!queue->empty() && HasSlotFor(queue->front().callClass)) {
       const SlotRequest next = queue->front();
       queue->pop_front();
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/callers/CallForwarder.h"
 
+#include "knapweedpaddle/callers/TimeBudgets.h"
 #include "knapweedpaddle/nodes/CallCodec.h"
 #include "knapweedpaddle/routing/Picker.h"
 #include "knapweedpaddle/routing/RetryPolicy.h"
@@ -74,6 +75,7 @@
     Timestamp received;
     std::int64_t receivedWall = 0;
     Timestamp deadline;
+    Timestamp targetAt; ///< when the caller's target time ends
     telemetry::TraceContext trace;
     std::string parentSpan;
     std::vector<std::string> versions;
@@ -184,8 +186,11 @@
     }
     aCall.route = *route;
     auto timeout = route->timeout;
-    if (aCall.request.timeout) {
-      timeout = std::min(timeout, *aCall.request.timeout);
+    aCall.targetAt = aCall.received + route->slowAfter;
+    if (const auto& left = aCall.request.timeout) {
+      timeout = std::min(timeout, *left);
+      aCall.targetAt -=
+        mBudgets.TimeSpent(route->header.name, *left, aCall.received);
     }
     aCall.deadline = aCall.received + timeout;
     if (aCall.deadline < Now() + kLeastTimeout) {
@@ -337,7 +342,7 @@
     }
     owned.deadline = aCall.deadline;
     owned.slowAfter = aCall.route.slowAfter;
-    owned.targetAt = aCall.received + aCall.route.slowAfter;
+    owned.targetAt = aCall.targetAt;
     owned.trace = aTry.span;
     owned.method = aCall.request.method;
     owned.path = aCall.request.path;
@@ -651,6 +656,7 @@
     mRetries; ///< by service
   std::unordered_map<std::string, Limit> mLimits;
   std::unordered_map<std::string, routing::ShareSequence> mDraws; ///< by name
+  TimeBudgets mBudgets;
   telemetry::LogBudget mLogBudget{ kLogLinesPerSecond, kLogBurst };
   std::size_t mInFlight = 0;
   bool mDraining = false;
--- a/tests/backends/SlotQueueTest.cpp
+++ b/tests/backends/SlotQueueTest.cpp
@@ -221,3 +221,141 @@
   CHECK(share(1) + 0.05 >= share(2));
   CHECK(share(2) > 0.25);
 }
+
+namespace {
+
+/** Offers calls to a queue faster than its slots can serve them; each refused
+ * call comes back once, with what is left of its target time. */
+struct Overload
+{
+  static constexpr int kSlots = 10;
+  static constexpr Milliseconds kService{ 100 };
+  static constexpr Milliseconds kTarget{ 300 };
+  static constexpr Milliseconds kComeBack{ 200 };
+  static constexpr int kCalls = 3000;
+
+  struct Offer
+  {
+    std::uint64_t id = 0;
+    Timestamp firstAt;
+  };
+
+  Overload()
+    : queue(0, [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
+      aRefusal ? Refused(aId) : Started(aId);
+    })
+  {
+    queue.SetSlots(kSlots);
+  }
+
+  void Run(Milliseconds aGap)
+  {
+    for (int n = 0; n < kCalls; ++n) {
+      const Timestamp at = kNow + aGap * n;
+      offers.emplace(at, Offer{ static_cast<std::uint64_t>(n) + 1, at });
+    }
+    while (!offers.empty()) {
+      now = offers.begin()->first;
+      const Offer offer = offers.begin()->second;
+      offers.erase(offers.begin());
+      EndThoseDone();
+      queue.Expire(now);
+      Ask(offer);
+    }
+  }
+
+  void EndThoseDone()
+  {
+    const Timestamp until = now;
+    while (!ends.empty() && ends.begin()->first <= until) {
+      now = ends.begin()->first;
+      const Timestamp firstAt = ends.begin()->second;
+      ends.erase(ends.begin());
+      ++served;
+      onTime += now - firstAt <= kTarget ? 1 : 0;
+      queue.Release(CallClass::kIdempotent, kService, now);
+    }
+    now = until;
+  }
+
+  void Ask(const Offer& aOffer)
+  {
+    SlotRequest request;
+    request.id = aOffer.id;
+    request.deadline = aOffer.firstAt + Milliseconds(2000);
+    request.target = kTarget;
+    request.targetAt = aOffer.firstAt + kTarget;
+    request.route = "lookup";
+    request.serviceMs = static_cast<double>(kService.count());
+    firstAt[aOffer.id] = aOffer.firstAt;
+    SlotRefusal refusal{};
+    const auto answer = queue.Request(request, now, refusal);
+    if (!answer) {
+      Refused(aOffer.id);
+    } else if (*answer == SlotQueue::Answer::kTaken) {
+      Started(aOffer.id);
+    }
+  }
+
+  void Started(std::uint64_t aId)
+  {
+    ends.emplace(now + kService, firstAt.at(aId));
+  }
+
+  void Refused(std::uint64_t aId)
+  {
+    if (cameBack[aId]) {
+      return;
+    }
+    cameBack[aId] = true;
+    offers.emplace(now + kComeBack, Offer{ aId, firstAt.at(aId) });
+  }
+
+  Timestamp now = kNow;
+  std::multimap<Timestamp, Offer> offers;
+  std::multimap<Timestamp, Timestamp> ends; ///< end of a run -> first try
+  std::map<std::uint64_t, Timestamp> firstAt;
+  std::map<std::uint64_t, bool> cameBack;
+  int served = 0;
+  int onTime = 0;
+  SlotQueue queue;
+};
+
+} // namespace
+
+TEST_CASE("in overload the slots go to calls that can still be on time",
+          "[slots]")
+{
+  Overload it;
+  it.Run(Milliseconds(6)); // 1.67 times what the slots can serve
+  INFO("served " << it.served << ", on time " << it.onTime);
+  CHECK(it.onTime >= it.served * 9 / 10);
+  CHECK(it.served >= Overload::kCalls * 5 / 10);
+}
+
+TEST_CASE("a call that missed its target waits behind the others, not for long",
+          "[slots]")
+{
+  Fixture it(0);
+  it.queue.SetSlots(1);
+  REQUIRE(it.Ask(1, CallClass::kIdempotent, kLater) ==
+          SlotQueue::Answer::kTaken);
+  const auto ask = [&it](std::uint64_t aId, Milliseconds aLeft) {
+    SlotRequest request;
+    request.id = aId;
+    request.deadline = kLater;
+    request.target = Milliseconds(200);
+    request.targetAt = kNow + aLeft;
+    request.serviceMs = 20;
+    return it.queue.Request(request, kNow, it.refusal);
+  };
+  CHECK(ask(2, Milliseconds(-50)) == SlotQueue::Answer::kQueued);
+  CHECK(ask(3, Milliseconds(150)) == SlotQueue::Answer::kQueued);
+  CHECK(ask(4, Milliseconds(-90)) == SlotQueue::Answer::kQueued);
+  it.queue.Release(CallClass::kIdempotent, Milliseconds(5), kNow);
+  CHECK(it.granted == std::vector<std::uint64_t>{ 3 });
+  it.queue.Release(CallClass::kIdempotent, Milliseconds(5), kNow);
+  CHECK(it.granted == std::vector<std::uint64_t>{ 3, 2 });
+  it.queue.Expire(kNow + Milliseconds(100));
+  CHECK(it.refusals[4] == SlotRefusal::kWaitTooLong);
+}
