Start a herd on two store calls a node

Nodes read the members' rows before anyone had written one, from a place that rarely held any, and read them again while known peers would do; each starting node took itself for a reader, followed the store and dropped its poll; nodes in a cut zone went back and forth between peers and a read of everything.

Now a node writes its row, then reads once; rows lie in the order of a hash; peers known are asked before the store; readers are told apart a second after the start; a poll under way is used when it returns.

--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -63,10 +63,13 @@
 
 private:
   bool WantsStore() const;
+  void Ask();
+  void AskAgain();
   void ReadAll();
-  void Follow(std::uint64_t aAfter);
+  void Follow();
+  void OnAnswer(const std::optional<operators::OrderNews>& aNews,
+                const store::StoreReason& aReason);
   void OnNews(const operators::OrderNews& aNews);
-  void Retry(const store::StoreReason& aReason, std::uint64_t aAfter);
   void NoteStore(bool aReachable, const std::string& aWhy);
   void Pull(const std::string& aAddress);
   bool ApplyAnswer(const nodes::PullAnswer& aAnswer,
@@ -83,8 +86,11 @@
   std::string mSource;
   ConfigHistory mHistory;
   std::uint64_t mRound = 0; ///< outdates calls of earlier rounds
-  bool mFollowing = false;
+  bool mAsking = false;     ///< a call to the store or its retry is under way
+  std::optional<std::uint64_t> mRevision; ///< of the store's last news
+  Timestamp mNewsAt{};                    ///< when they came
   bool mPulling = false;
+  Timestamp mReaderFrom{}; ///< before it the readers can't be told
   Timestamp mAloneUntil{}; ///< before it peers may bring the configuration
   Timestamp mPeerHeardAt{};
   std::optional<bool> mStoreReachable;
--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -62,10 +62,15 @@
   std::string LinkAddressOf(nodes::NodeId aNode) const;
 
 private:
+  using Rows = std::optional<std::vector<store::Row>>;
+
   void ReadRows();
+  void OnRows(const Rows& aRows, const store::StoreReason& aReason);
   void Sync();
   void WriteRow();
-  std::vector<std::string> ZoneAddresses() const;
+  void FindPeers();
+  std::vector<std::string> AliveAddresses(
+    const std::function<bool(const nodes::MemberRecord&)>& aWanted) const;
   void JoinSome(std::vector<std::string> aAddresses);
   void OnRoundEnd();
 
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -17,6 +17,12 @@
 /** A starting node waits up to this for a peer's configuration, so that a herd
  * does not read the store all at once. */
 constexpr Milliseconds kLongestStartDelay{ 500 };
+/** A starting node knows too few members to tell who the readers are; it reads
+ * the store once and follows it after this. */
+constexpr Milliseconds kReaderGrace{ 1000 };
+/** With older news the whole table is read: its history may be gone, and holds
+ * each change that came since. */
+constexpr Milliseconds kFollowFrom{ 10'000 };
 /** Without a message for so long, peers can't be relied on for changes. Each
  * probe period brings at least one when they are reachable. */
 constexpr Milliseconds kLonely{ 1300 };
@@ -46,6 +52,7 @@
   const Milliseconds delay(std::uniform_int_distribution<std::int64_t>(
     0, kLongestStartDelay.count())(mRandom));
   mAloneUntil = now + delay;
+  mReaderFrom = now + kReaderGrace;
   mPeerHeardAt = now;
   mServices.scheduler.RunAfter(delay, [this] { Tick(); });
 }
@@ -54,104 +61,111 @@
 ConfigFollower::WantsStore() const
 {
   const Timestamp now = mServices.scheduler.Now();
-  if (!HasConfig()) {
+  if (!HasConfig() && !mRevision) {
     return now >= mAloneUntil;
   }
-  return mServices.isReader() || now - mPeerHeardAt > kLonely;
+  const bool isReader = now >= mReaderFrom && mServices.isReader();
+  return isReader || now - mPeerHeardAt > kLonely;
 }
 
 void
 ConfigFollower::Tick()
 {
-  const bool wanted = WantsStore();
-  if (wanted && !mFollowing) {
-    mFollowing = true;
-    ++mRound;
-    ReadAll();
-  } else if (!wanted && mFollowing) {
-    mFollowing = false;
-    ++mRound;
+  if (!mAsking && WantsStore()) {
+    Ask();
   }
 }
 
 void
 ConfigFollower::Refresh()
 {
-  mFollowing = false;
   mAloneUntil = mServices.scheduler.Now();
   ++mRound;
   ReadAll();
 }
 
+void
+ConfigFollower::Ask()
+{
+  const bool isFresh =
+    mRevision && mServices.scheduler.Now() - mNewsAt <= kFollowFrom;
+  if (isFresh) {
+    Follow();
+  } else {
+    ReadAll();
+  }
+}
+
 void
 ConfigFollower::ReadAll()
 {
+  mAsking = true;
   mServices.desk.ReadAll(
     [this, round = mRound](const std::optional<OrderNews>& aNews,
                            const StoreReason& aReason) {
-      if (round != mRound) {
-        return;
+      if (round == mRound) {
+        OnAnswer(aNews, aReason);
       }
-      if (!aNews) {
-        Retry(aReason, 0);
-        return;
-      }
-      OnNews(*aNews);
     });
 }
 
 void
-ConfigFollower::Follow(std::uint64_t aAfter)
+ConfigFollower::Follow()
 {
+  mAsking = true;
   mServices.desk.Follow(
-    aAfter,
+    *mRevision,
     kFollowWait,
-    [this, round = mRound, aAfter](const std::optional<OrderNews>& aNews,
-                                   const StoreReason& aReason) {
-      if (round != mRound) {
-        return;
-      }
-      if (aNews) {
-        OnNews(*aNews);
-      } else if (aReason.code == StoreError::kHistoryGone) {
-        ReadAll();
-      } else {
-        Retry(aReason, aAfter);
+    [this, round = mRound](const std::optional<OrderNews>& aNews,
+                           const StoreReason& aReason) {
+      if (round == mRound) {
+        OnAnswer(aNews, aReason);
       }
     });
 }
 
+void
+ConfigFollower::OnAnswer(const std::optional<OrderNews>& aNews,
+                         const StoreReason& aReason)
+{
+  if (aNews) {
+    OnNews(*aNews);
+  } else if (aReason.code == StoreError::kHistoryGone) {
+    ReadAll();
+  } else {
+    NoteStore(false, aReason.message);
+    mServices.scheduler.RunAfter(mBackoff.Next(mRandom),
+                                 [this, round = mRound] {
+                                   if (round == mRound) {
+                                     AskAgain();
+                                   }
+                                 });
+  }
+}
+
 void
 ConfigFollower::OnNews(const OrderNews& aNews)
 {
   mBackoff.Reset();
   NoteStore(true, "");
+  mRevision = aNews.revision;
+  mNewsAt = mServices.scheduler.Now();
   if (aNews.configText) {
     ApplyText(*aNews.configText);
   }
   if (!aNews.rollouts.empty()) {
     mServices.onOrders(aNews.rollouts);
   }
-  if (mFollowing) {
-    Follow(aNews.revision);
-  }
+  AskAgain();
 }
 
 void
-ConfigFollower::Retry(const StoreReason& aReason, std::uint64_t aAfter)
+ConfigFollower::AskAgain()
 {
-  NoteStore(false, aReason.message);
-  mServices.scheduler.RunAfter(mBackoff.Next(mRandom),
-                               [this, round = mRound, aAfter] {
-                                 if (round != mRound) {
-                                   return;
-                                 }
-                                 if (aAfter > 0) {
-                                   Follow(aAfter);
-                                 } else {
-                                   ReadAll();
-                                 }
-                               });
+  mAsking = WantsStore();
+  if (mAsking) {
+    Ask();
+  }
 }
 
 void
@@ -183,8 +197,7 @@
       mPulling = false;
       if (!aAnswer) {
         // The peer is heard but can't be asked.
-        if (!mFollowing) {
-          ++mRound;
+        if (!mAsking) {
           ReadAll();
         }
         return;
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -1,8 +1,11 @@
 #include "knapweedpaddle/node/MemberAgent.h"
 
 #include "knapweedpaddle/store/CatalogueRows.h"
+#include "knapweedpaddle/telemetry/Log.h"
 
+#include <absl/strings/str_format.h>
 #include <algorithm>
+#include <xxhash.h>
 
 namespace knapweedpaddle::node {
 
@@ -13,6 +16,8 @@
 
 constexpr std::size_t kRowsRead = 10;
 constexpr std::size_t kPeersAsked = 3;
+/** A write to the store that takes longer isn't waited for. */
+constexpr Milliseconds kLongestWrite{ 150 };
 constexpr Milliseconds kFirstRetry{ 500 };
 constexpr Milliseconds kLongestRetry{ 8000 };
 /** After a herd of starts the first peers asked know few others, so that some
@@ -23,6 +28,30 @@
 constexpr std::int64_t kSyncSpreadPerMemberMs =
   100; ///< bounds the bytes of many syncs
 
+void
+LogStoreFailure(const std::string& aEvent, const std::string& aReason)
+{
+  telemetry::LogEvent(telemetry::LogCategory::kPlatform,
+                      telemetry::LogLevel::kInfo,
+                      aEvent,
+                      { { "reason", aReason } });
+}
+
+/** Rows lie in the order of a hash, so that a read from a random place finds
+ * random members. */
+std::string
+RowKey(std::uint64_t aHash)
+{
+  return store::kMemberPrefix + absl::StrFormat("%016x", aHash);
+}
+
+std::string
+RowKeyOf(nodes::NodeId aNode)
+{
+  const std::string name = ToString(aNode);
+  return RowKey(XXH3_64bits(name.data(), name.size()));
+}
+
 } // namespace
 
 std::string
@@ -49,7 +78,6 @@
 {
   mBackoff.Reset();
   mRoundsLeft = kSettleRounds;
-  ReadRows();
   WriteRow();
 }
 
@@ -121,8 +149,7 @@
 MemberAgent::RemoveRow()
 {
   store::Transaction transaction;
-  transaction.writes.push_back(
-    { store::kMemberPrefix + ToString(mMembers.Self().node), "", true });
+  transaction.writes.push_back({ RowKeyOf(mMembers.Self().node), "", true });
   mServices.platform.Commit(std::move(transaction),
                             [](bool, const store::StoreReason&) {});
 }
@@ -138,63 +165,87 @@
 void
 MemberAgent::ReadRows()
 {
-  const auto onRows =
-    [this](const std::optional<std::vector<store::Row>>& aRows,
-           const store::StoreReason&) {
-      std::vector<std::string> addresses = mSeeds;
-      if (aRows) {
-        for (const auto& it : *aRows) {
-          addresses.push_back(it.value);
-        }
-      }
-      for (const auto& [id, member] : mMembers.Members()) {
-        if (member.liveness == Liveness::kAlive) {
-          addresses.push_back(LinkAddress(member.record));
-        }
-      }
-      JoinSome(std::move(addresses));
-    };
   // From a random place, so that a herd doesn't ask the same few peers.
-  const std::string first =
-    store::kMemberPrefix + std::to_string(mRandom() % 256);
   mServices.platform.ReadRange(
     store::kMemberPrefix,
-    first,
+    RowKey(mRandom()),
     kRowsRead,
-    [this, onRows](const std::optional<std::vector<store::Row>>& aRows,
-                   const store::StoreReason& aReason) {
+    [this](const Rows& aRows, const store::StoreReason& aReason) {
       if (aRows && aRows->size() < kPeersAsked) {
         mServices.platform.ReadRange(
-          store::kMemberPrefix, store::kMemberPrefix, kRowsRead, onRows);
+          store::kMemberPrefix,
+          store::kMemberPrefix,
+          kRowsRead,
+          [this](const Rows& aFirst, const store::StoreReason& aWhy) {
+            OnRows(aFirst, aWhy);
+          });
         return;
       }
-      onRows(aRows, aReason);
+      OnRows(aRows, aReason);
     });
 }
 
 void
-MemberAgent::WriteRow()
+MemberAgent::OnRows(const Rows& aRows, const store::StoreReason& aReason)
 {
-  if (mRowWritten) {
-    return;
+  std::vector<std::string> addresses = mSeeds;
+  if (aRows) {
+    for (const auto& it : *aRows) {
+      addresses.push_back(it.value);
+    }
+  } else {
+    LogStoreFailure("member_rows_unread", aReason.message);
   }
+  std::ranges::move(AliveAddresses([](const MemberRecord&) { return true; }),
+                    std::back_inserter(addresses));
+  JoinSome(std::move(addresses));
+}
+
+void
+MemberAgent::WriteRow()
+{
   store::Transaction transaction;
   transaction.writes.push_back(
-    { store::kMemberPrefix + ToString(mMembers.Self().node),
-      LinkAddress(mMembers.Self()),
-      false });
+    { RowKeyOf(mMembers.Self().node), LinkAddress(mMembers.Self()), false });
+  // Members are read after the write, so that of nodes that start together
+  // the later ones find the earlier ones. A slow write doesn't hold that up.
+  const auto isFound = std::make_shared<bool>(false);
+  const auto find = [this, isFound] {
+    if (!std::exchange(*isFound, true)) {
+      FindPeers();
+    }
+  };
+  mServices.scheduler.RunAfter(kLongestWrite, find);
   mServices.platform.Commit(
     std::move(transaction),
-    [this](bool aDone, const store::StoreReason&) { mRowWritten |= aDone; });
+    [this, find](bool aDone, const store::StoreReason& aReason) {
+      mRowWritten |= aDone;
+      if (!aDone) {
+        LogStoreFailure("member_row_unwritten", aReason.message);
+      }
+      find();
+    });
+}
+
+void
+MemberAgent::FindPeers()
+{
+  std::vector<std::string> known =
+    AliveAddresses([](const MemberRecord&) { return true; });
+  if (mRoundAnswered && !known.empty()) {
+    JoinSome(std::move(known));
+  } else {
+    ReadRows();
+  }
 }
 
 std::vector<std::string>
-MemberAgent::ZoneAddresses() const
+MemberAgent::AliveAddresses(
+  const std::function<bool(const MemberRecord&)>& aWanted) const
 {
   std::vector<std::string> addresses;
   for (const auto& [id, member] : mMembers.Members()) {
-    if (member.liveness == Liveness::kAlive &&
-        member.record.zone == mMembers.Self().zone) {
+    if (member.liveness == Liveness::kAlive && aWanted(member.record)) {
       addresses.push_back(LinkAddress(member.record));
     }
   }
@@ -240,8 +291,11 @@
   const bool settled = mRoundAnswered && mRowWritten && mServices.isServing();
   if (settled && mRoundsLeft > 0) {
     --mRoundsLeft;
-    mServices.scheduler.RunAfter(kSettleDelay,
-                                 [this] { JoinSome(ZoneAddresses()); });
+    mServices.scheduler.RunAfter(kSettleDelay, [this] {
+      JoinSome(AliveAddresses([this](const MemberRecord& aRecord) {
+        return aRecord.zone == mMembers.Self().zone;
+      }));
+    });
     return;
   }
   if (settled || mRetryPending) {
@@ -251,8 +305,11 @@
   mRetryPending = true;
   mServices.scheduler.RunAfter(mBackoff.Next(mRandom), [this] {
     mRetryPending = false;
-    ReadRows();
-    WriteRow();
+    if (mRowWritten) {
+      FindPeers();
+    } else {
+      WriteRow();
+    }
   });
 }
 
--- a/src/nodes/ZoneReaders.cpp
+++ b/src/nodes/ZoneReaders.cpp
@@ -15,31 +15,49 @@
 }
 
 bool
-CanHoldDuty(const MemberRecord& aRecord)
+HoldsConfig(const MemberRecord& aRecord)
 {
   return aRecord.state == MemberState::kWarm ||
          aRecord.state == MemberState::kServing;
 }
 
-} // namespace
+bool
+IsStarting(const MemberRecord& aRecord)
+{
+  return aRecord.state == MemberState::kStarting;
+}
 
 std::vector<NodeId>
-DutyHolders(const Membership& aMembership,
-            const std::string& aZone,
-            const std::string& aDuty,
-            std::size_t aCount)
+Candidates(const Membership& aMembership,
+           const std::string& aZone,
+           bool (*aIsFit)(const MemberRecord&))
 {
   std::vector<NodeId> nodes;
   for (const auto& [id, member] : aMembership.Members()) {
     if (member.liveness == Liveness::kAlive && member.record.zone == aZone &&
-        CanHoldDuty(member.record)) {
+        aIsFit(member.record)) {
       nodes.push_back(id);
     }
   }
   const MemberRecord& self = aMembership.Self();
-  if (self.zone == aZone && CanHoldDuty(self)) {
+  if (self.zone == aZone && aIsFit(self)) {
     nodes.push_back(self.node);
   }
+  return nodes;
+}
+
+} // namespace
+
+std::vector<NodeId>
+DutyHolders(const Membership& aMembership,
+            const std::string& aZone,
+            const std::string& aDuty,
+            std::size_t aCount)
+{
+  std::vector<NodeId> nodes = Candidates(aMembership, aZone, HoldsConfig);
+  if (nodes.empty()) {
+    nodes = Candidates(aMembership, aZone, IsStarting);
+  }
   std::ranges::sort(nodes, std::ranges::greater{}, [&aDuty](NodeId aItem) {
     return Score(aDuty, aItem);
   });
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -134,6 +134,57 @@
   CHECK(fleet.shared.reads - before <= kReaders * (kChanges + 10) + 20);
 }
 
+TEST_CASE("the first configuration may come long after the start", "[fleet]")
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    FakeFleet fleet(seed);
+    for (int n = 0; n < 12; ++n) {
+      fleet.Add("zone" + std::to_string(n % 3), "svc");
+    }
+    fleet.StartAll();
+    fleet.clock.RunFor(Milliseconds(4000));
+    fleet.WriteConfig(5);
+    fleet.clock.RunFor(kApplyBound);
+    CHECK(fleet.AllHold(5));
+  }
+}
+
+TEST_CASE("a herd's start stays within the store's rates", "[fleet]")
+{
+  // 2,000 reads and 400 writes a second for 600 nodes: three reads a node.
+  constexpr std::uint64_t kNodes = 80;
+  constexpr std::uint64_t kReadsEach = 3;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    for (const bool again : { false, true }) {
+      INFO("seed " << seed << (again ? ", rows of an earlier start" : ""));
+      FakeFleet fleet(seed);
+      for (std::uint64_t n = 0; n < kNodes; ++n) {
+        fleet.Add("zone" + std::to_string(n % 4), "svc");
+      }
+      fleet.WriteConfig(5);
+      fleet.StartAll();
+      if (again) {
+        fleet.clock.RunFor(kSettle);
+        for (auto& it : fleet.nodes) {
+          fleet.Kill(it);
+        }
+        fleet.shared.reads = 0;
+        fleet.shared.writes = 0;
+        fleet.StartAll();
+      }
+      fleet.clock.RunFor(Milliseconds(3000));
+      CHECK(fleet.AllHold(5));
+      for (const auto& it : fleet.nodes) {
+        REQUIRE(it.view);
+        CHECK(it.view->targets.at("svc").size() == kNodes);
+      }
+      CHECK(fleet.shared.reads <= kNodes * kReadsEach);
+      CHECK(fleet.shared.writes <= kNodes);
+    }
+  }
+}
+
 TEST_CASE("a fleet that lost power everywhere comes back from the store",
           "[fleet]")
 {
