--- a/tests/processes/Processes.cpp
+++ b/tests/processes/Processes.cpp
@@ -151,8 +151,9 @@
 }
 
 TestMesh::TestMesh(int aBasePort)
-  : mBasePort(aBasePort)
-  , mPlatformAddress("127.0.0.1:" + std::to_string(aBasePort))
+  : platformAddress("127.0.0.1:" + std::to_string(aBasePort))
+  , mBasePort(aBasePort)
+  , mPlatformAddress(platformAddress)
 {
   std::string pattern =
     std::filesystem::temp_directory_path() / "knapweed-test-XXXXXX";
@@ -196,7 +197,7 @@
   aMachine.node = std::make_unique<Process>(
     std::vector<std::string>{ Program("apps/knapweedd"),
                               "--zone=" + aMachine.zone,
-                              "--platform=" + mPlatformAddress,
+                              "--platform=" + platformAddress,
                               "--gossip_port=" + std::to_string(port),
                               "--link_port=" + std::to_string(port + 1),
                               "--caller_port=" + std::to_string(port + 2),
--- a/tests/processes/Processes.h
+++ b/tests/processes/Processes.h
@@ -104,11 +104,13 @@
   std::vector<std::unique_ptr<Machine>> machines;
   std::vector<std::string>
     backendFlags; ///< further flags of backend servers started
+  /** Where nodes started from now on find the platform. */
+  std::string platformAddress;
 
 private:
   int mBasePort;
   std::string mFolder;
-  std::string mPlatformAddress;
+  std::string mPlatformAddress; ///< the stand-in's own
   std::unique_ptr<Process> mPlatform;
 };
 
