Hold calls that come before the configuration or a first server

Callers have one or two retries, which refusals 0.2 s apart used up. Such calls now wait for the next routing view, for a third of their time and one second at most, then they are refused as not-run. Ruled out: learning the backend server by a check of its own after a start; a check that lies could undo an acknowledged leave.

--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/callers/CallForwarder.h"
 
+#include "knapweedpaddle/callers/HeldCalls.h"
 #include "knapweedpaddle/callers/TimeBudgets.h"
 #include "knapweedpaddle/nodes/CallCodec.h"
 #include "knapweedpaddle/routing/Picker.h"
@@ -28,6 +29,10 @@
 
 constexpr Milliseconds kLeastTimeout{ 1 };
 constexpr Milliseconds kRetryAfter{ 200 }; ///< told to refused callers
+/** A call that can't go anywhere yet is held so long at most, and no longer
+ * than this part of its time: its caller may know another node. */
+constexpr Milliseconds kLongestHold{ 1000 };
+constexpr int kHoldPart = 3;
 /** A call under way for so many times its route's mean is worth a second try.
  */
 constexpr double kUnusualFactor = 2.2;
@@ -87,6 +92,7 @@
     bool mayHaveRun = false;
     bool over = false;
     std::optional<CallResult> failure; ///< a backend server's, kept meanwhile
+    HeldCalls::HoldId held = 0;
     runtime::EventLoop::TimerId hedgeTimer = 0;
     runtime::EventLoop::TimerId deadlineTimer = 0;
     std::vector<std::string> steps;
@@ -100,6 +106,7 @@
     , mPicker(routing::PickerOptions{}, aSeed)
     , mRandom(aSeed + 1)
     , mView(std::make_shared<routing::RoutingView>())
+    , mHeld(aServices.loop)
   {
   }
 
@@ -110,11 +117,16 @@
     for (auto& [service, policy] : mRetries) {
       policy.SetOptions(mView->retries);
     }
+    mHeld.GoOn();
   }
 
   void Close() { mClosed = true; }
 
-  void Drain() { mDraining = true; }
+  void Drain()
+  {
+    mDraining = true;
+    mHeld.GiveUp();
+  }
 
   std::size_t InFlight() const { return mInFlight; }
 
@@ -133,24 +145,8 @@
     call->trace = mServices.tracer.Child(parent);
     ++mInFlight;
 
-    if (const std::string refusal = Admit(*call); !refusal.empty()) {
-      FinishWithout(call, refusal);
-      return {};
-    }
-    call->deadlineTimer = mServices.loop.RunAfter(
-      std::chrono::ceil<Milliseconds>(call->deadline - Now()), [this, call] {
-        call->deadlineTimer = 0;
-        FinishWithout(call, "the deadline passed");
-      });
-    RetriesFor(call->service).CountCall();
-    if (!StartTry(call)) {
-      FinishWithout(call,
-                    "no backend server of service \"" + call->service +
-                      "\" is known");
-      return {};
-    }
-    ScheduleHedge(call);
-    return [this, call] { Abandon(call); };
+    Enter(call);
+    return call->over ? CancelTask() : [this, call] { Abandon(call); };
   }
 
 private:
@@ -167,15 +163,78 @@
     return buf.data();
   }
 
+  bool IsOpen() const { return mView->open && !mClosed; }
+
+  /** Admits a call and starts its first try, or holds it until it can. */
+  void Enter(const CallPtr& aCall)
+  {
+    if (!IsOpen() && !mDraining) {
+      Hold(aCall,
+           "this node does not hold a configuration that it may serve yet",
+           [this, aCall] { Enter(aCall); });
+      return;
+    }
+    if (const std::string refusal = Admit(*aCall); !refusal.empty()) {
+      FinishWithout(aCall, refusal);
+      return;
+    }
+    aCall->deadlineTimer = mServices.loop.RunAfter(
+      std::chrono::ceil<Milliseconds>(aCall->deadline - Now()), [this, aCall] {
+        aCall->deadlineTimer = 0;
+        FinishWithout(aCall, "the deadline passed");
+      });
+    RetriesFor(aCall->service).CountCall();
+    Begin(aCall);
+  }
+
+  void Begin(const CallPtr& aCall)
+  {
+    const CallClass callClass = aCall->route.callClass;
+    aCall->versions = mView->VersionsFor(
+      aCall->service,
+      callClass,
+      Draw("version " + aCall->service + " " +
+           std::string(NameOf(config::kCallClassNames, callClass))));
+    if (StartTry(aCall)) {
+      ScheduleHedge(aCall);
+      return;
+    }
+    Hold(aCall,
+         "no backend server of service \"" + aCall->service + "\" is known",
+         [this, aCall] { Begin(aCall); });
+  }
+
+  /** Holds a call until the next view; gives it up after a part of its time. */
+  void Hold(const CallPtr& aCall,
+            const std::string& aReason,
+            HeldCalls::Task aGoOn)
+  {
+    const Milliseconds time =
+      aCall->request.timeout.value_or(kLongestHold * kHoldPart);
+    const Milliseconds left =
+      std::min(kLongestHold, time / kHoldPart) -
+      std::chrono::duration_cast<Milliseconds>(Now() - aCall->received);
+    if (left > Milliseconds(0) && !mDraining) {
+      aCall->held = mHeld.Hold(left, std::move(aGoOn), [this, aCall, aReason] {
+        FinishWithout(aCall, aReason);
+      });
+    } else {
+      aCall->held = 0;
+    }
+    if (aCall->held == 0) {
+      FinishWithout(aCall, aReason);
+      return;
+    }
+    aCall->steps.push_back("held: " + aReason);
+    mServices.metrics.Count("calls_held_total", {});
+  }
+
   /** Returns why a call is refused at the door, or "". */
   std::string Admit(Call& aCall)
   {
     if (mDraining) {
       return "this node is leaving";
     }
-    if (!mView->open || mClosed) {
-      return "this node does not hold a configuration that it may serve yet";
-    }
     const std::string& path = aCall.request.path;
     const config::RouteEntry* route =
       mView->FindRoute(aCall.request.host, path.substr(0, path.find('?')));
@@ -200,11 +259,6 @@
       return "limit \"" + route->limit + "\" is exceeded";
     }
     aCall.service = DrawService(*route);
-    aCall.versions = mView->VersionsFor(
-      aCall.service,
-      route->callClass,
-      Draw("version " + aCall.service + " " +
-           std::string(NameOf(config::kCallClassNames, route->callClass))));
     aCall.steps.push_back("route " + route->header.name + " of version " +
                           std::to_string(mView->config->version) +
                           " to service " + aCall.service);
@@ -566,6 +620,7 @@
   {
     aCall->over = true;
     --mInFlight;
+    mHeld.Forget(std::exchange(aCall->held, 0));
     mServices.loop.Cancel(std::exchange(aCall->hedgeTimer, 0));
     mServices.loop.Cancel(std::exchange(aCall->deadlineTimer, 0));
     for (const auto& it : std::exchange(aCall->active, {})) {
@@ -656,6 +711,7 @@
     mRetries; ///< by service
   std::unordered_map<std::string, Limit> mLimits;
   std::unordered_map<std::string, routing::ShareSequence> mDraws; ///< by name
+  HeldCalls mHeld;
   TimeBudgets mBudgets;
   telemetry::LogBudget mLogBudget{ kLogLinesPerSecond, kLogBurst };
   std::size_t mInFlight = 0;
--- /dev/null
+++ b/tests/callers/CallForwarderTest.cpp
@@ -0,0 +1,147 @@
+// The ingress side of calls, on a loop of its own with this node's own owner.
+
+#include "knapweedpaddle/callers/CallForwarder.h"
+
+#include "fakes/FreeAddress.h"
+#include "knapweedpaddle/http/Server.h"
+#include "node/NoClaims.h"
+
+#include <catch2/catch.hpp>
+
+using namespace knapweedpaddle;
+using namespace knapweedpaddle::callers;
+
+namespace {
+
+const nodes::NodeId kSelf = *nodes::ParseNodeId("10.0.0.1:7100");
+
+struct Fixture
+{
+  Fixture()
+    : tracer("test", 0, 1)
+    , journal(10)
+    , links(loop, {})
+    , server(loop,
+             [](const http::ExchangePtr& aExchange) {
+               http::Response response;
+               response.status = 200;
+               aExchange->Respond(response);
+             })
+    , owner({ loop, claims, metrics, tracer, {} }, 0)
+    , forwarder({ loop, links, owner, metrics, tracer, journal },
+                { kSelf, "a" },
+                1)
+  {
+    const std::string address = fakes::FreeAddress();
+    REQUIRE(server.Listen(address));
+    owner.SetBackend(backends::BackendServer{ address, "svc", "v1", 4, "i" });
+  }
+
+  CallForwarder::CancelTask Call(Milliseconds aTimeout)
+  {
+    CallRequest request;
+    request.method = "GET";
+    request.host = "svc.example";
+    request.path = "/a/b";
+    request.timeout = aTimeout;
+    return forwarder.Forward(request, [this](const CallResult& aResult) {
+      results.push_back(aResult);
+    });
+  }
+
+  /** A view with a route to the service, and this node's server if wanted. */
+  static routing::RoutingViewPtr View(bool aHasServer)
+  {
+    auto snapshot = std::make_shared<config::Snapshot>();
+    config::RouteEntry route;
+    route.header.name = "r";
+    route.host = "svc.example";
+    route.pathPrefix = "/a/";
+    route.service = "svc";
+    route.timeout = Milliseconds(5000);
+    route.slowAfter = Milliseconds(500);
+    snapshot->entries[{ config::EntryKind::kRoute, "r" }] = route;
+    auto view = std::make_shared<routing::RoutingView>(
+      std::make_shared<const config::Snapshot>(*snapshot));
+    view->open = true;
+    view->shares["svc"] = {};
+    if (aHasServer) {
+      view->targets["svc"] = { { kSelf, "", "a", "v1", 4, false } };
+    }
+    return view;
+  }
+
+  void RunLoopFor(Milliseconds aTime)
+  {
+    loop.RunAfter(aTime, [this] { loop.Stop(); });
+    loop.Run();
+  }
+
+  runtime::EventLoop loop;
+  node::NoClaims claims;
+  telemetry::Metrics metrics;
+  telemetry::Tracer tracer;
+  CallJournal journal;
+  nodes::LinkClient links;
+  http::Server server;
+  backends::CallOwner owner;
+  CallForwarder forwarder;
+  std::vector<CallResult> results;
+};
+
+} // namespace
+
+TEST_CASE("a call that comes before the configuration is served with it",
+          "[calls]")
+{
+  Fixture it;
+  it.Call(Milliseconds(3000));
+  it.RunLoopFor(Milliseconds(50));
+  CHECK(it.results.empty());
+  it.forwarder.SetView(Fixture::View(true));
+  it.RunLoopFor(Milliseconds(200));
+  REQUIRE(it.results.size() == 1);
+  CHECK(it.results[0].outcome == CallOutcome::kAnswered);
+  CHECK(it.forwarder.InFlight() == 0);
+}
+
+TEST_CASE("a call waits for the first server of its service", "[calls]")
+{
+  Fixture it;
+  it.forwarder.SetView(Fixture::View(false));
+  it.Call(Milliseconds(3000));
+  it.RunLoopFor(Milliseconds(50));
+  CHECK(it.results.empty());
+  it.forwarder.SetView(Fixture::View(true));
+  it.RunLoopFor(Milliseconds(200));
+  REQUIRE(it.results.size() == 1);
+  CHECK(it.results[0].outcome == CallOutcome::kAnswered);
+}
+
+TEST_CASE("a held call is refused after a third of its time, and at a drain",
+          "[calls]")
+{
+  Fixture it;
+  it.Call(Milliseconds(300));
+  it.Call(Milliseconds(3000));
+  it.RunLoopFor(Milliseconds(200));
+  REQUIRE(it.results.size() == 1);
+  CHECK(it.results[0].outcome == CallOutcome::kNotRun);
+  CHECK(it.results[0].retryAfter.has_value());
+  it.forwarder.Drain();
+  REQUIRE(it.results.size() == 2);
+  CHECK(it.results[1].outcome == CallOutcome::kNotRun);
+  CHECK(it.forwarder.InFlight() == 0);
+}
+
+TEST_CASE("a caller that leaves while its call is held ends it", "[calls]")
+{
+  Fixture it;
+  const auto cancel = it.Call(Milliseconds(3000));
+  REQUIRE(cancel);
+  cancel();
+  CHECK(it.forwarder.InFlight() == 0);
+  it.forwarder.SetView(Fixture::View(true));
+  it.RunLoopFor(Milliseconds(50));
+  CHECK(it.results.empty());
+}
