Serve metrics on the platform; explain a request from log files

Cause: the sidecar counted, but nobody could read the counts, and a request's lines of several nodes had to be put together by hand. Metrics are on port 9464 (deploy/system.toml names it; a port that is taken costs a log line, no call), 'knapweed explain log ID' prints a request's lines from standard input in time order and the cause. A refusal before admission no longer logs a time left that it never had.

--- a/apps/knapweed/Commands.cpp
+++ b/apps/knapweed/Commands.cpp
@@ -1,11 +1,13 @@
 #include "Commands.h"
 
 #include "ApiClient.h"
+#include "knapweedpaddle/telemetry/LogStory.h"
 
 #include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <functional>
+#include <iostream>
 #include <map>
 #include <random>
 #include <set>
@@ -182,6 +184,21 @@
     return Show(mClient.Get("/-/v1/explain/" + aKind + "/" + aName));
   }
 
+  /** Reads the logs of any nodes from standard input. */
+  static int ExplainLog(const std::string& aId)
+  {
+    const telemetry::LogStory story(std::cin, aId);
+    for (const auto& line : story.Lines()) {
+      std::printf("%s%s", line.prefix.c_str(), line.time.c_str());
+      for (const auto& [key, value] : line.fields) {
+        std::printf("\n    %-9s %s", key.c_str(), value.c_str());
+      }
+      std::printf("\n");
+    }
+    std::printf("%s: %s\n", aId.c_str(), story.Cause().c_str());
+    return story.Lines().empty() ? kExitRefused : kExitOk;
+  }
+
   int MoveList()
   {
     const auto answer = mClient.Get("/-/v1/entries");
@@ -401,6 +418,11 @@
       [](Session& aSession, const Words& aWords) {
         return aSession.Explain("move", aWords[0]);
       } },
+    { { "explain", "log" },
+      1,
+      [](Session&, const Words& aWords) {
+        return Session::ExplainLog(aWords[0]);
+      } },
   };
   return kCommands;
 }
--- a/apps/knapweed/Commands.h
+++ b/apps/knapweed/Commands.h
@@ -19,7 +19,9 @@
   "  knapweed move list           show all moves\n"
   "  knapweed status              show versions in force, members and lag\n"
   "  knapweed explain call ID     show why a call had no answer\n"
-  "  knapweed explain move NAME   show a move's progress and evidence\n\n"
+  "  knapweed explain move NAME   show a move's progress and evidence\n"
+  "  knapweed explain log ID      show what logs on standard input say of a "
+  "request\n\n"
   "exit codes: 0 accepted or done, 1 refused, 2 bad usage, 3 conflict,\n"
   "4 unknown (repeat with --operation_id), 5 unavailable, 6 move taken back";
 
--- a/include/knapweedpaddle/settings/FleetSettings.h
+++ b/include/knapweedpaddle/settings/FleetSettings.h
@@ -16,6 +16,7 @@
   std::string callerAddress;   ///< "IP:port" for the VM's own callers
   std::string readyAddress;    ///< "IP:port" for readiness checks
   std::string reportAddress;   ///< "IP:port" for the backend server's reports
+  std::string metricsAddress;  ///< "IP:port"; empty: not served
   std::string backendAddress;  ///< "IP:port" of the VM's backend server
   std::string service;         ///< of the VM's backend server
   std::string storeAddress;    ///< "IP:port"
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -679,6 +679,8 @@
     }
     const auto milliseconds =
       std::chrono::duration_cast<Milliseconds>(aElapsed).count();
+    // A call that was never admitted has no deadline of its own.
+    const bool isAdmitted = aCall.deadline != Timestamp{};
     const auto left =
       std::chrono::duration_cast<Milliseconds>(aCall.deadline - now).count();
     LogEvent(
@@ -691,7 +693,7 @@
         { "outcome", std::string(NameOf(kCallOutcomeNames, aResult.outcome)) },
         { "status", std::to_string(aResult.status) },
         { "ms", std::to_string(milliseconds) },
-        { "left_ms", std::to_string(left) },
+        { "left_ms", isAdmitted ? std::to_string(left) : "" },
         { "left_out", std::to_string(mLogBudget.TakeLeftOut()) },
         { "steps", steps } });
   }
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -168,8 +168,11 @@
                aExchange->Respond(
                  Answer(mCore.IsReady() ? kStatusOk : kUnavailable));
              })
-    , mReports(mControlLoop, [this](const http::ExchangePtr& aExchange) {
-      OnReport(aExchange);
+    , mReports(
+        mControlLoop,
+        [this](const http::ExchangePtr& aExchange) { OnReport(aExchange); })
+    , mMetricsPage(mControlLoop, [this](const http::ExchangePtr& aExchange) {
+      aExchange->Respond(MetricsPage());
     })
   {
   }
@@ -241,6 +244,11 @@
       aReason = "can't listen on " + mSettings.reportAddress + " for reports";
       return false;
     }
+    // Calls are served without metrics, too.
+    if (!mSettings.metricsAddress.empty() &&
+        !mMetricsPage.Listen(mSettings.metricsAddress)) {
+      Note("metrics_not_served", "can't listen on " + mSettings.metricsAddress);
+    }
     return true;
   }
 
@@ -267,6 +275,20 @@
       *report, [aExchange] { aExchange->Respond(Answer(kStatusOk, "{}")); });
   }
 
+  http::Response MetricsPage()
+  {
+    const nodes::Membership& members = mCore.Members();
+    mMetrics.SetGauge(
+      "config_version", {}, static_cast<double>(mCore.Config().Version()));
+    mMetrics.SetGauge(
+      "members", {}, static_cast<double>(members.Members().size() + 1));
+    mMetrics.SetGauge("serving", {}, mCore.IsReady() ? 1 : 0);
+    http::Response response = Answer(kStatusOk, mMetrics.Expose());
+    response.headers.push_back(
+      { "Content-Type", "text/plain; version=0.0.4; charset=utf-8" });
+    return response;
+  }
+
   void HandleLink(nodes::LinkRequest aRequest,
                   std::function<void(nodes::LinkResponse)> aRespond)
   {
@@ -376,6 +398,7 @@
   TrafficPlane mTraffic;
   http::Server mReady;
   http::Server mReports;
+  http::Server mMetricsPage;
   std::filesystem::file_time_type mSettingsWritten{};
   Timestamp mLingerUntil{};
   Timestamp mStopBy{};
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -173,6 +173,7 @@
   CHECK(settings->firstPort == 7620);
   CHECK(settings->reportInterval == Milliseconds(1500));
   CHECK(settings->stopTime == Milliseconds(6000));
+  CHECK(settings->metricsAddress == "10.1.0.8:9464");
 }
 
 TEST_CASE("a bad setting is refused with its name, value and range",
