--- a/src/telemetry/LogStory.cpp
+++ b/src/telemetry/LogStory.cpp
@@ -1,7 +1,6 @@
 #include "knapweedpaddle/telemetry/LogStory.h"
 
 #include <algorithm>
-#include <ranges>
 #include <regex>
 #include <utility>
 
@@ -109,11 +108,11 @@
 std::string
 LogStory::Cause() const
 {
-  const auto lines = mLines | std::views::reverse;
-  const auto it = std::ranges::find_if(lines, [](const LogLine& aLine) {
-    return aLine.Field("event") == kIngressEvent;
-  });
-  if (it == lines.end()) {
+  const auto it =
+    std::find_if(mLines.rbegin(), mLines.rend(), [](const LogLine& aLine) {
+      return aLine.Field("event") == kIngressEvent;
+    });
+  if (it == mLines.rend()) {
     return mLines.empty()
              ? "no line names this id: it was answered in time, or "
                "its line was left out under load"
--- a/tests/processes/Processes.cpp
+++ b/tests/processes/Processes.cpp
@@ -171,7 +171,9 @@
 {
   machines.clear();
   mPlatform.reset();
-  std::filesystem::remove_all(mFolder);
+  if (!keepsFolder) {
+    std::filesystem::remove_all(mFolder);
+  }
 }
 
 Machine&
--- a/tests/processes/Processes.h
+++ b/tests/processes/Processes.h
@@ -103,7 +103,8 @@
 
   std::vector<std::unique_ptr<Machine>> machines;
   std::vector<std::string>
-    backendFlags; ///< further flags of backend servers started
+    backendFlags;           ///< further flags of backend servers started
+  bool keepsFolder = false; ///< with all logs, when the mesh ends
   /** Where nodes started from now on find the platform. */
   std::string platformAddress;
 
--- a/tests/soak/FaultSoak.cpp
+++ b/tests/soak/FaultSoak.cpp
@@ -19,7 +19,8 @@
 ABSL_FLAG(int, seconds, 20, "how long faults come (s)");
 ABSL_FLAG(int, machines, 9, "nodes, each with a backend server");
 ABSL_FLAG(int, port, 18000, "first of the ports used, ten a machine");
-ABSL_FLAG(int, callers, 6, "threads that call");
+ABSL_FLAG(int, callers, 12, "threads that call");
+ABSL_FLAG(int, service_ms, 60, "time that a call takes at a server (ms)");
 ABSL_FLAG(std::string,
           catalogue,
           std::string(KNAPWEED_SOURCE_DIR) + "/examples/coulee-chime.json",
@@ -124,6 +125,9 @@
   {
     mMesh.platformAddress =
       "127.0.0.1:" + std::to_string(absl::GetFlag(FLAGS_port) + 1);
+    // Long enough for faults to strike calls that run.
+    mMesh.backendFlags = { "--service_ms=" +
+                           std::to_string(absl::GetFlag(FLAGS_service_ms)) };
   }
 
   int Run()
@@ -154,7 +158,12 @@
                 seen.unknown,
                 mEvents,
                 mVerdict.Broken());
-    return mVerdict.Broken() == 0 ? 0 : 1;
+    if (mVerdict.Broken() > 0) {
+      mMesh.keepsFolder = true;
+      std::printf("logs are in %s\n", mMesh.Folder().c_str());
+      return 1;
+    }
+    return 0;
   }
 
 private:
@@ -206,8 +215,11 @@
     mMesh.SetPlatformFault("none");
     mProxy.SetFault(LinkFault::kNone);
     const auto machines = mMesh.machines.size();
-    mVerdict.Expect(mMesh.AwaitServers(machines, kSettleMs),
-                    "every node sees every server after the faults");
+    const bool isWhole = mMesh.AwaitServers(machines, kSettleMs);
+    mVerdict.Expect(isWhole, "every node sees every server after the faults");
+    if (!isWhole) {
+      TellViews();
+    }
     mVerdict.Expect(Apply() == 0, "a change is accepted after the faults");
     const Json status = Json::parse(
       Ask("GET",
@@ -220,6 +232,27 @@
                     "the last change is in force everywhere in time");
   }
 
+  /** Prints whom each node does not see alive and serving. */
+  void TellViews() const
+  {
+    for (const auto& machine : mMesh.machines) {
+      const Answer answer =
+        Ask("GET", "http://" + machine->CallerAddress() + "/-/v1/status");
+      const Json status = Json::parse(answer.body, nullptr, false);
+      std::printf("%s: ", machine->CallerAddress().c_str());
+      if (!status.is_object()) {
+        std::printf("no status\n");
+        continue;
+      }
+      std::printf("%zu members\n", status["members"].size());
+      for (const auto& it : status["members"]) {
+        if (it["state"] != "serving" || it["liveness"] != "alive") {
+          std::printf("  %s\n", it.dump().c_str());
+        }
+      }
+    }
+  }
+
   void RunDue(milliseconds aTime)
   {
     const auto until = Clock::now() + aTime;
