Log the rate limit that a backend server names, and the calls sent to it

Change: the owner decodes the limit from answers and logs each change of it with the calls sent so far (event=server_limit), and exports backend_rate_limit; calls are routed as before.

--- a/include/knapweedpaddle/backends/BackendDialect.h
+++ b/include/knapweedpaddle/backends/BackendDialect.h
@@ -19,6 +19,9 @@
   std::string notRun;
   /** Response header that proves that the server itself responded. */
   std::string stamp;
+  /** Response header: calls a second that the server takes from all callers
+   * together, as a decimal number. */
+  std::string rateLimit = "knapweed-rate-limit";
   bool echoesCallId = false; ///< responses repeat the callId header
 };
 
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/backends/BackendDispatcher.h"
 
+#include "knapweedpaddle/backends/ServerRateLimit.h"
 #include "knapweedpaddle/http/Client.h"
 #include "knapweedpaddle/routing/VersionSelector.h"
 #include "knapweedpaddle/telemetry/Log.h"
@@ -35,6 +36,8 @@
 /** Weight of one call in the moving average of a route's service time. */
 constexpr double kRouteTimeSmoothing = 0.1;
 constexpr double kPercent = 100;
+/** Value of the metric for the rate limit while the server names none. */
+constexpr double kNoRateLimit = -1;
 
 CallResult
 NotRunResult(const ForwardedCall& aCall, std::string aReason)
@@ -300,6 +303,7 @@
       return;
     }
     const auto span = mServices.tracer.Child(call.trace);
+    ++mDispatchedCalls;
     pending.dispatched = true;
     pending.sentAt = now;
     pending.sentAtWallMicroseconds = WallMicroseconds();
@@ -362,6 +366,9 @@
     mServices.metrics.Observe("backend_seconds",
                               { { "route", pending.call.route } },
                               std::chrono::duration<double>(elapsed).count());
+    if (aResponse) {
+      NoteRateLimit(*aResponse, pending.sentAt);
+    }
     CallResult result = ResultOf(pending.call, std::move(aResponse), aReason);
     if (result.outcome == CallOutcome::kNotRun) {
       // The elapsed time of a call that did not run is no service time.
@@ -375,6 +382,38 @@
     Finish(aRun, std::move(result));
   }
 
+  /** Records the rate limit that a response names, or that it names none. */
+  void NoteRateLimit(const http::Response& aResponse, Timestamp aSentAt)
+  {
+    const std::string& name = mServices.dialect.rateLimit;
+    const std::string* value =
+      name.empty() ? nullptr : http::FindHeader(aResponse.headers, name);
+    const auto rate = value ? ServerRateLimit::Parse(*value) : std::nullopt;
+    if (value && !rate) {
+      LogRateLimit("server_limit_unreadable", *value);
+      return;
+    }
+    if (mRateLimit.OnAnswer(rate, aSentAt, Now())) {
+      LogRateLimit("server_limit", value ? *value : "none");
+      mServices.metrics.SetGauge(
+        "backend_rate_limit", {}, rate.value_or(kNoRateLimit));
+    }
+  }
+
+  /** Logs a rate limit with the number of calls sent so far, which tells the
+   * rate that the server got between two such lines. */
+  void LogRateLimit(const char* aEvent, const std::string& aLimit)
+  {
+    if (mLogLimiter.Take(Now())) {
+      LogEvent(telemetry::LogCategory::kBackend,
+               telemetry::LogLevel::kInfo,
+               aEvent,
+               { { "server", mBackend ? mBackend->id : "" },
+                 { "limit", aLimit },
+                 { "sent", std::to_string(mDispatchedCalls) } });
+    }
+  }
+
   /** Converts the response to a dispatched call, or its error, to a result. */
   CallResult ResultOf(const ForwardedCall& aCall,
                       std::optional<http::Response> aResponse,
@@ -513,6 +552,8 @@
   Services mServices;
   http::Client mHttp;
   SlotQueue mSlots;
+  ServerRateLimit mRateLimit;
+  std::uint64_t mDispatchedCalls = 0;
   std::optional<BackendServer> mBackend;
   RunId mLastRun = 0;
   std::unordered_map<RunId, PendingCall> mPending;
