--- a/tests/backends/BackendDispatcherTest.cpp
+++ b/tests/backends/BackendDispatcherTest.cpp
@@ -24,6 +24,14 @@
     : tracer("test", 0, 1)
     , server(loop,
              [this](const http::ExchangePtr& aExchange) {
+               arrivals.push_back(std::chrono::steady_clock::now());
+               if (answersAtOnce) {
+                 http::Response response;
+                 response.status = 200;
+                 response.headers = answerHeaders;
+                 aExchange->Respond(std::move(response));
+                 return;
+               }
                pending.push_back(aExchange);
              })
     , dispatcher({ loop, claims, metrics, tracer, {} }, 0)
@@ -48,6 +56,22 @@
                    [this](const callers::CallResult&) { ++answered; });
   }
 
+  /** Runs a call every few milliseconds for some time. */
+  void RunCallsFor(Milliseconds aTime)
+  {
+    const auto timer = loop.RunEvery(Milliseconds(4), [this] { Run(); });
+    RunLoopFor(aTime);
+    loop.Cancel(timer);
+  }
+
+  /** Returns the number of calls that arrived in the 4 s from a time on. */
+  std::ptrdiff_t ArrivalsFrom(Timestamp aTime) const
+  {
+    return std::ranges::count_if(arrivals, [aTime](Timestamp aArrival) {
+      return aArrival >= aTime && aArrival < aTime + std::chrono::seconds(4);
+    });
+  }
+
   void RunLoopFor(Milliseconds aTime)
   {
     loop.RunAfter(aTime, [this] { loop.Stop(); });
@@ -58,6 +82,9 @@
   node::UnavailableClaims claims;
   telemetry::Metrics metrics;
   telemetry::Tracer tracer;
+  bool answersAtOnce = false;
+  std::vector<http::Header> answerHeaders;
+  std::vector<Timestamp> arrivals;
   std::vector<http::ExchangePtr> pending;
   http::Server server;
   BackendDispatcher dispatcher;
@@ -110,3 +137,25 @@
   CHECK(it.answered == 6);
   CHECK(it.pending.empty());
 }
+
+TEST_CASE("a backend server gets no more calls than the rate that it names "
+          "allows",
+          "[owner]")
+{
+  constexpr std::ptrdiff_t kRate = 10;
+  // One and a half times the rate, and 5 calls more, in any 4 s.
+  constexpr std::ptrdiff_t kMaxArrivals = kRate * 4 * 3 / 2 + 5;
+  Fixture it;
+  it.answersAtOnce = true;
+  it.answerHeaders = { { "knapweed-rate-limit", std::to_string(kRate) } };
+  it.RunCallsFor(Milliseconds(5000));
+  for (const Timestamp arrival : it.arrivals) {
+    CHECK(it.ArrivalsFrom(arrival) <= kMaxArrivals);
+  }
+  CHECK(it.arrivals.size() >= 4 * kRate);
+  it.answerHeaders.clear();
+  it.RunCallsFor(Milliseconds(500));
+  const std::size_t before = it.arrivals.size();
+  it.RunCallsFor(Milliseconds(500));
+  CHECK(it.arrivals.size() - before >= 5 * kRate);
+}
