Keep calls to a backend server within the rate that it names

Change: ServerRateLimit, a token bucket at the owner, is a second condition of SlotQueue beside the slots: a call waits for it in the same queue, and is refused at once when that wait is longer than it may be. A new process can't know what was named before, so it has 4 calls in progress until the first answer. Why it holds: all calls of all nodes pass the owner, so no count has to be shared.

--- a/include/knapweedpaddle/backends/ServerRateLimit.h
+++ b/include/knapweedpaddle/backends/ServerRateLimit.h
@@ -1,15 +1,21 @@
 #pragma once
 
 #include "knapweedpaddle/common/Time.h"
+#include "knapweedpaddle/routing/TokenBucket.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
 namespace knapweedpaddle::backends {
 
 /**
- * The number of calls a second that a backend server in need takes from all
- * callers together. The server names it in its answers for as long as it holds.
+ * Keeps the calls to a backend server within the rate that it takes from all
+ * callers together. A server in need names that rate in its answers for as long
+ * as it holds.
+ *
+ * A new process does not know whether the server named a rate before. Until the
+ * first answer it has only a few calls in progress.
  *
  * Thread safety: the traffic thread only.
  */
@@ -32,12 +38,30 @@
    */
   bool OnAnswer(std::optional<double> aRate, Timestamp aSentAt, Timestamp aNow);
 
+  /** Lifts the limit, when another server takes the place of the one that
+   * named it. */
+  void Lift() { mRate.reset(); }
+
+  /**
+   * Returns true, and counts the call, if one more call may be sent now.
+   *
+   * @param aInProgress  number of calls sent and not answered yet.
+   * @param aNow         must not precede the time of the last call.
+   */
+  bool TakeCall(std::size_t aInProgress, Timestamp aNow);
+
+  /** Returns the time until a call may be sent that has a number of others
+   * ahead of it; 0 without a limit. */
+  Microseconds WaitFor(std::size_t aCallsAhead, Timestamp aNow) const;
+
   /** Returns the rate that the server names, in calls per second, if any. */
   std::optional<double> Rate() const { return mRate; }
 
 private:
   std::optional<double> mRate;
-  Timestamp mNamedAt{}; ///< when an answer last named the rate
+  routing::TokenBucket mBucket{ 0, 0 }; ///< one token a call, while limited
+  Timestamp mNamedAt{};                 ///< when an answer last named the rate
+  bool mHasAnswer = false;
 };
 
 } // namespace knapweedpaddle::backends
--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "knapweedpaddle/backends/AdmissionFairness.h"
+#include "knapweedpaddle/backends/ServerRateLimit.h"
 #include "knapweedpaddle/common/Time.h"
 #include "knapweedpaddle/config/Entry.h"
 
@@ -17,13 +18,15 @@
   kQueueFull,
   kDeadlineTooNear, ///< the deadline would pass while the call waits
   kWaitTooLong,     ///< the call would wait too long for its latency target
+  kRateLimited,     ///< the same, for the rate that the server takes
   kDraining,        ///< no calls are accepted, or there is no backend server
 };
 
-inline constexpr std::array<EnumName<SlotRefusal>, 4> kSlotRefusalNames{ {
+inline constexpr std::array<EnumName<SlotRefusal>, 5> kSlotRefusalNames{ {
   { SlotRefusal::kQueueFull, "queue_full" },
   { SlotRefusal::kDeadlineTooNear, "deadline_too_near" },
   { SlotRefusal::kWaitTooLong, "wait_too_long" },
+  { SlotRefusal::kRateLimited, "rate_limited" },
   { SlotRefusal::kDraining, "draining" },
 } };
 
@@ -45,14 +48,15 @@
 
 /**
  * Admits calls to the slots of the backend server and queues calls while no
- * slot is free. Some slots are reserved for calls of class check, which also go
- * first in the queue; other calls are ordered by target deadline.
+ * slot is free or the server's rate limit is reached. Some slots are reserved
+ * for calls of class check, which also go first in the queue; other calls are
+ * ordered by target deadline.
  *
  * A call is refused immediately when its expected wait, estimated from the
- * recent service times, exceeds its deadline or most of the time left until its
- * target deadline. A call that can no longer meet its target is late: it waits
- * behind all others, for a short time only, because in overload slots are best
- * used for calls that can still be answered on time.
+ * recent service times and the rate limit, exceeds its deadline or most of the
+ * time left until its target deadline. A call that can no longer meet its
+ * target is late: it waits behind all others, for a short time only, because in
+ * overload slots are best used for calls that can still be answered on time.
  *
  * Thread safety: the traffic thread only.
  */
@@ -63,7 +67,10 @@
   using SlotCallback =
     std::function<void(std::uint64_t aId, std::optional<SlotRefusal>)>;
 
-  SlotQueue(std::uint32_t aCheckSlots, SlotCallback aCallback);
+  /** @param aRateLimit  must outlive the queue. */
+  SlotQueue(std::uint32_t aCheckSlots,
+            ServerRateLimit& aRateLimit,
+            SlotCallback aCallback);
 
   /**
    * Sets the number of slots. With 0 slots, while no backend server is known,
@@ -88,8 +95,8 @@
                                    SlotRefusal& aRefusal);
 
   /**
-   * Releases the slot of a call of the given class and grants it to the next
-   * queued call.
+   * Releases the slot of a call of the given class and grants slots to queued
+   * calls.
    *
    * @param aServiceTime  time at the backend server; nothing for a call that
    * the server did not complete.
@@ -101,8 +108,15 @@
   /** Removes a queued call; false when the call was not queued. */
   bool Cancel(std::uint64_t aId);
 
-  /** Refuses queued calls that can no longer be answered in time. */
-  void Expire(Timestamp aNow);
+  /** Refuses queued calls that can no longer be answered in time, and grants
+   * slots to those that the rate limit allows by now. */
+  void Update(Timestamp aNow);
+
+  /** Returns the time until the rate limit allows the next queued call. */
+  Microseconds RateWait(Timestamp aNow) const
+  {
+    return mRateLimit.WaitFor(0, aNow);
+  }
 
   /** Refuses all new and queued calls from now on. */
   void Drain();
@@ -122,9 +136,14 @@
 private:
   /** Returns true if a slot is free for a call of that class. */
   bool HasSlotFor(config::CallClass aClass) const;
+  /** Takes a slot for a call of that class if one is free and the rate limit
+   * allows the call. */
+  bool TakeSlot(config::CallClass aClass, Timestamp aNow);
   std::uint32_t& BusyOf(config::CallClass aClass);
-  /** Returns the expected wait of a call if it were queued now. */
-  Milliseconds ExpectedWait(const SlotRequest& aRequest, bool aLate) const;
+  /** Returns how many queued calls would go before a call. */
+  std::size_t CallsAhead(const SlotRequest& aRequest, bool aLate) const;
+  /** Returns the expected wait for a slot with a number of calls ahead. */
+  Milliseconds SlotWait(std::size_t aCallsAhead) const;
   /** Returns the expected wait up to which a call is admitted. */
   Milliseconds MaxWait(const SlotRequest& aRequest,
                        bool aLate,
@@ -145,9 +164,11 @@
   void QueueLate(SlotRequest aRequest, Timestamp aNow);
   /** Moves regular calls that became late to the queue of late calls. */
   void MoveLateCalls(Timestamp aNow);
-  void GrantNext(Timestamp aNow);
+  void Expire(Timestamp aNow);
+  void GrantQueued(Timestamp aNow);
 
   std::uint32_t mCheckSlots;
+  ServerRateLimit& mRateLimit;
   AdmissionFairness mFairness;
   SlotCallback mCallback;
   std::uint32_t mSlots = 0;
--- a/include/knapweedpaddle/routing/TokenBucket.h
+++ b/include/knapweedpaddle/routing/TokenBucket.h
@@ -21,6 +21,13 @@
   /** Changes the capacity; tokens beyond it are discarded. */
   void SetBurst(double aBurst);
 
+  /** Changes the rate for the time after the last Take(). */
+  void SetRate(double aRatePerSecond) { mRate = aRatePerSecond; }
+
+  /** Returns the time until the bucket holds a number of tokens, which may
+   * exceed its capacity. The rate must not be 0. */
+  Microseconds TimeUntil(double aTokens, Timestamp aNow) const;
+
   /** Adds tokens, up to the capacity. */
   void Add(double aTokens);
 
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 /** How often queued calls are checked for their deadline. */
-constexpr Milliseconds kExpiryInterval{ 25 };
+constexpr Milliseconds kMaxQueueCheckInterval{ 25 };
 /** Connections that were idle for longer are not reused. */
 constexpr Milliseconds kMaxConnectionIdle{ 4000 };
 /** An at-most-once call can't be retried when its connection turns out to be
@@ -71,6 +71,7 @@
     : mServices(std::move(aServices))
     , mHttp(mServices.loop, ClientOptionsFor(mServices.dialect))
     , mSlots(aCheckSlots,
+             mRateLimit,
              [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
                OnQueueDecision(aId, aRefusal);
              })
@@ -81,6 +82,7 @@
   {
     if (mBackend && aBackend && mBackend->id != aBackend->id) {
       mUnreachableUntil = {};
+      mRateLimit.Lift();
     }
     mBackend = std::move(aBackend);
     if (mBackend) {
@@ -212,21 +214,27 @@
     if (*admission == SlotQueue::Admission::kSlotGranted) {
       OnSlotGranted(aRun);
     } else {
-      ScheduleExpiry();
+      ScheduleQueueCheck();
     }
   }
 
-  /** Expires queued calls periodically while there are any. */
-  void ScheduleExpiry()
+  /** Updates the queue when its next call may be sent, and periodically, while
+   * calls are queued. */
+  void ScheduleQueueCheck()
   {
-    if (mExpiryTimer != 0) {
+    if (mQueueTimer != 0) {
       return;
     }
-    mExpiryTimer = mServices.loop.RunAfter(kExpiryInterval, [this] {
-      mExpiryTimer = 0;
-      mSlots.Expire(Now());
+    const auto rateWait =
+      std::chrono::ceil<Milliseconds>(mSlots.RateWait(Now()));
+    const Milliseconds delay = rateWait > Milliseconds(0)
+                                 ? std::min(rateWait, kMaxQueueCheckInterval)
+                                 : kMaxQueueCheckInterval;
+    mQueueTimer = mServices.loop.RunAfter(delay, [this] {
+      mQueueTimer = 0;
+      mSlots.Update(Now());
       if (mSlots.Queued() > 0) {
-        ScheduleExpiry();
+        ScheduleQueueCheck();
       }
     });
   }
@@ -551,15 +559,15 @@
 
   Services mServices;
   http::Client mHttp;
-  SlotQueue mSlots;
   ServerRateLimit mRateLimit;
+  SlotQueue mSlots;
   std::uint64_t mDispatchedCalls = 0;
   std::optional<BackendServer> mBackend;
   RunId mLastRun = 0;
   std::unordered_map<RunId, PendingCall> mPending;
   EvidenceTable mEvidence;
   telemetry::LogRateLimiter mLogLimiter{ kLogLinesPerSecond, kLogBurst };
-  EventLoop::TimerId mExpiryTimer = 0;
+  EventLoop::TimerId mQueueTimer = 0;
   Timestamp mUnreachableUntil{};
   /** Moving averages of the service time, by route. */
   std::unordered_map<std::string, double> mRouteMs;
--- a/src/backends/ServerRateLimit.cpp
+++ b/src/backends/ServerRateLimit.cpp
@@ -1,10 +1,25 @@
 #include "knapweedpaddle/backends/ServerRateLimit.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
 namespace knapweedpaddle::backends {
 
+namespace {
+
+/** Calls in progress before the first answer to a new process. Low enough that
+ * with the calls of the process before it the server gets few too many. */
+constexpr std::size_t kMaxCallsBeforeAnswer = 4;
+/** Calls that may be sent at once after a time without any, as the number that
+ * the rate allows in this time (s). */
+constexpr double kBurstSeconds = 0.5;
+/** Lowest rate used (calls per second). A server that names less still gets a
+ * call now and then, since only its answers can lift the limit. */
+constexpr double kMinRate = 0.25;
+
+} // namespace
+
 std::optional<double>
 ServerRateLimit::Parse(const std::string& aText)
 {
@@ -22,14 +37,43 @@
                           Timestamp aSentAt,
                           Timestamp aNow)
 {
+  mHasAnswer = true;
   if (aRate) {
     mNamedAt = aNow;
   } else if (aSentAt <= mNamedAt) {
     return false;
   }
-  const bool changed = mRate != aRate;
+  if (mRate == aRate) {
+    return false;
+  }
+  if (aRate) {
+    const double rate = std::max(*aRate, kMinRate);
+    if (!mRate) {
+      // Starts empty: the calls in progress count against the limit, too.
+      mBucket = routing::TokenBucket(rate, 0);
+      mBucket.Take(aNow, 0);
+    }
+    mBucket.SetRate(rate);
+    mBucket.SetBurst(std::max(1.0, rate * kBurstSeconds));
+  }
   mRate = aRate;
-  return changed;
+  return true;
+}
+
+bool
+ServerRateLimit::TakeCall(std::size_t aInProgress, Timestamp aNow)
+{
+  if (!mHasAnswer) {
+    return aInProgress < kMaxCallsBeforeAnswer;
+  }
+  return !mRate || mBucket.Take(aNow);
+}
+
+Microseconds
+ServerRateLimit::WaitFor(std::size_t aCallsAhead, Timestamp aNow) const
+{
+  return mRate ? mBucket.TimeUntil(static_cast<double>(aCallsAhead + 1), aNow)
+               : Microseconds(0);
 }
 
 } // namespace knapweedpaddle::backends
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -51,8 +51,11 @@
 
 } // namespace
 
-SlotQueue::SlotQueue(std::uint32_t aCheckSlots, SlotCallback aCallback)
+SlotQueue::SlotQueue(std::uint32_t aCheckSlots,
+                     ServerRateLimit& aRateLimit,
+                     SlotCallback aCallback)
   : mCheckSlots(aCheckSlots)
+  , mRateLimit(aRateLimit)
   , mCallback(std::move(aCallback))
 {
 }
@@ -75,15 +78,15 @@
     aRefusal = SlotRefusal::kDraining;
     return std::nullopt;
   }
+  GrantQueued(aNow);
   const bool isLate = IsLate(aRequest, aNow);
-  const bool hasSlot = HasSlotFor(aRequest.callClass);
+  const bool hasSlot = TakeSlot(aRequest.callClass, aNow);
   const auto refusal =
     hasSlot ? std::nullopt : RefusalFor(aRequest, isLate, aNow);
   if (!isLate) {
     mFairness.Record(aRequest.route, aRequest.priority, !refusal, aNow);
   }
   if (hasSlot) {
-    ++BusyOf(aRequest.callClass);
     return Admission::kSlotGranted;
   }
   if (refusal) {
@@ -112,7 +115,7 @@
     mServiceMs += (static_cast<double>(aServiceTime->count()) - mServiceMs) /
                   mAveragedCalls;
   }
-  GrantNext(aNow);
+  GrantQueued(aNow);
 }
 
 bool
@@ -128,6 +131,12 @@
   return erased > 0;
 }
 
+void
+SlotQueue::Update(Timestamp aNow)
+{
+  GrantQueued(aNow);
+}
+
 void
 SlotQueue::Expire(Timestamp aNow)
 {
@@ -200,6 +209,16 @@
          mBusyRegular < mSlots - reserved;
 }
 
+bool
+SlotQueue::TakeSlot(config::CallClass aClass, Timestamp aNow)
+{
+  if (!HasSlotFor(aClass) || !mRateLimit.TakeCall(Busy(), aNow)) {
+    return false;
+  }
+  ++BusyOf(aClass);
+  return true;
+}
+
 std::uint32_t&
 SlotQueue::BusyOf(config::CallClass aClass)
 {
@@ -214,13 +233,18 @@
   if (Queued() >= kMaxQueuedPerSlot * mSlots) {
     return SlotRefusal::kQueueFull;
   }
-  const Milliseconds wait = ExpectedWait(aRequest, aLate);
+  const std::size_t ahead = CallsAhead(aRequest, aLate);
+  const Milliseconds slotWait = SlotWait(ahead);
+  const auto rateWait =
+    std::chrono::ceil<Milliseconds>(mRateLimit.WaitFor(ahead, aNow));
+  const Milliseconds wait = std::max(slotWait, rateWait);
   if (aNow + wait >= aRequest.deadline) {
     return SlotRefusal::kDeadlineTooNear;
   }
   if (aRequest.targetLatency > Milliseconds(0) &&
       wait > MaxWait(aRequest, aLate, aNow)) {
-    return SlotRefusal::kWaitTooLong;
+    return rateWait > slotWait ? SlotRefusal::kRateLimited
+                               : SlotRefusal::kWaitTooLong;
   }
   return std::nullopt;
 }
@@ -251,31 +275,33 @@
     wait, mFairness.WaitFactor(aRequest.route, aRequest.priority, aNow));
 }
 
+std::size_t
+SlotQueue::CallsAhead(const SlotRequest& aRequest, bool aLate) const
+{
+  return aLate ? Queued()
+               : mQueuedChecks.size() +
+                   static_cast<std::size_t>(InsertPosition(aRequest) -
+                                            mQueuedRegular.begin());
+}
+
 Milliseconds
-SlotQueue::ExpectedWait(const SlotRequest& aRequest, bool aLate) const
+SlotQueue::SlotWait(std::size_t aCallsAhead) const
 {
-  const auto ahead = aLate
-                       ? Queued()
-                       : mQueuedChecks.size() +
-                           static_cast<std::size_t>(InsertPosition(aRequest) -
-                                                    mQueuedRegular.begin());
-  const double rounds =
-    static_cast<double>(ahead + 1) / static_cast<double>(std::max(mSlots, 1U));
+  const double rounds = static_cast<double>(aCallsAhead + 1) /
+                        static_cast<double>(std::max(mSlots, 1U));
   return Milliseconds(static_cast<std::int64_t>(mServiceMs * rounds));
 }
 
 void
-SlotQueue::GrantNext(Timestamp aNow)
+SlotQueue::GrantQueued(Timestamp aNow)
 {
   Expire(aNow);
   MoveLateCalls(aNow);
   for (auto* queue : Queues()) {
-    if (!queue->empty() && HasSlotFor(queue->front().callClass)) {
-      const SlotRequest next = queue->front();
+    while (!queue->empty() && TakeSlot(queue->front().callClass, aNow)) {
+      const std::uint64_t id = queue->front().id;
       queue->pop_front();
-      ++BusyOf(next.callClass);
-      mCallback(next.id, std::nullopt);
-      return;
+      mCallback(id, std::nullopt);
     }
   }
 }
--- a/src/routing/TokenBucket.cpp
+++ b/src/routing/TokenBucket.cpp
@@ -32,6 +32,16 @@
   mTokens = std::min(mTokens, mBurst);
 }
 
+Microseconds
+TokenBucket::TimeUntil(double aTokens, Timestamp aNow) const
+{
+  const std::chrono::duration<double> missing((aTokens - mTokens) / mRate);
+  const std::chrono::duration<double> elapsed =
+    mLast == Timestamp{} ? Timestamp::duration(0) : aNow - mLast;
+  return std::max(std::chrono::ceil<Microseconds>(missing - elapsed),
+                  Microseconds(0));
+}
+
 void
 TokenBucket::Add(double aTokens)
 {
--- a/tests/backends/SlotQueueTest.cpp
+++ b/tests/backends/SlotQueueTest.cpp
@@ -17,10 +17,20 @@
 const Timestamp kNow{ std::chrono::hours(1) };
 const Timestamp kLater = kNow + std::chrono::seconds(10);
 
+/** Returns the limit of a server that has answered and names no rate. */
+ServerRateLimit
+Unlimited()
+{
+  ServerRateLimit limit;
+  limit.OnAnswer(std::nullopt, kNow, kNow);
+  return limit;
+}
+
 struct Fixture
 {
   explicit Fixture(std::uint32_t aCheckSlots)
     : queue(aCheckSlots,
+            rateLimit,
             [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
               granted.push_back(aId);
               refusals[aId] = aRefusal;
@@ -42,6 +52,7 @@
   std::vector<std::uint64_t> granted;
   std::map<std::uint64_t, std::optional<SlotRefusal>> refusals;
   SlotRefusal refusal{};
+  ServerRateLimit rateLimit = Unlimited();
   SlotQueue queue;
 };
 
@@ -165,9 +176,9 @@
           SlotQueue::Admission::kSlotGranted);
   REQUIRE(it.Ask(2, CallClass::kIdempotent, kLater) ==
           SlotQueue::Admission::kQueued);
-  it.queue.Expire(kLater - Milliseconds(60));
+  it.queue.Update(kLater - Milliseconds(60));
   CHECK(it.refusals.empty());
-  it.queue.Expire(kLater - Milliseconds(20));
+  it.queue.Update(kLater - Milliseconds(20));
   CHECK(it.refusals[2] == SlotRefusal::kDeadlineTooNear);
 }
 
@@ -190,11 +201,13 @@
   std::multimap<Timestamp, int> ends;
   SlotQueue* current = nullptr;
   Timestamp now = kNow;
-  SlotQueue queue(0, [&](std::uint64_t, std::optional<SlotRefusal> aRefusal) {
-    if (!aRefusal) {
-      ends.emplace(now + kService, 0);
-    }
-  });
+  ServerRateLimit rateLimit = Unlimited();
+  SlotQueue queue(
+    0, rateLimit, [&](std::uint64_t, std::optional<SlotRefusal> aRefusal) {
+      if (!aRefusal) {
+        ends.emplace(now + kService, 0);
+      }
+    });
   current = &queue;
   queue.SetSlots(kSlots);
   SlotRefusal refusal{};
@@ -249,9 +262,11 @@
   };
 
   Overload()
-    : queue(0, [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
-      aRefusal ? Refused(aId) : Started(aId);
-    })
+    : queue(0,
+            rateLimit,
+            [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
+              aRefusal ? Refused(aId) : Started(aId);
+            })
   {
     queue.SetSlots(kSlots);
   }
@@ -267,7 +282,7 @@
       const Offer offer = offers.begin()->second;
       offers.erase(offers.begin());
       ReleaseEndedCalls();
-      queue.Expire(now);
+      queue.Update(now);
       Ask(offer);
     }
   }
@@ -327,6 +342,7 @@
   std::map<std::uint64_t, bool> retried;
   int served = 0;
   int onTime = 0;
+  ServerRateLimit rateLimit = Unlimited();
   SlotQueue queue;
 };
 
@@ -365,6 +381,6 @@
   CHECK(it.granted == std::vector<std::uint64_t>{ 3 });
   it.queue.Release(CallClass::kIdempotent, Milliseconds(5), kNow);
   CHECK(it.granted == std::vector<std::uint64_t>{ 3, 2 });
-  it.queue.Expire(kNow + Milliseconds(100));
+  it.queue.Update(kNow + Milliseconds(100));
   CHECK(it.refusals[4] == SlotRefusal::kWaitTooLong);
 }
