Weigh the wait for a server's rate limit in the choice of a server

Callers: of the calls to services whose servers name a rate, several were sent to a server that had to turn them away while another had room. Cause: an owner reported its slots, but not its rate limit, and the balancer estimates by slots. Change: an owner with a limited server adds the time between two calls and the present wait to its load report (a header of its own, so nodes without it go on), and the balancer takes the longer of both waits.

--- a/include/knapweedpaddle/backends/ServerLoad.h
+++ b/include/knapweedpaddle/backends/ServerLoad.h
@@ -19,6 +19,11 @@
   std::uint32_t routeMs = 0;
   /** Moving average of the share of failed calls. */
   std::uint32_t failedPercent = 0;
+  /** Time between two calls at the rate that the server names, in microseconds;
+   * 0 without a rate limit. */
+  std::uint32_t rateIntervalUs = 0;
+  /** Expected wait of a further call for the rate limit. */
+  std::uint32_t rateWaitMs = 0;
 
   bool operator==(const ServerLoad&) const = default;
 };
--- a/include/knapweedpaddle/backends/ServerRateLimit.h
+++ b/include/knapweedpaddle/backends/ServerRateLimit.h
@@ -54,6 +54,10 @@
    * ahead of it; 0 without a limit. */
   Microseconds WaitFor(std::size_t aCallsAhead, Timestamp aNow) const;
 
+  /** Returns the time between two calls at the rate in force; 0 without a
+   * limit. */
+  Microseconds CallInterval() const;
+
   /** Returns the rate that the server names, in calls per second, if any. */
   std::optional<double> Rate() const { return mRate; }
 
--- a/include/knapweedpaddle/routing/LoadBalancer.h
+++ b/include/knapweedpaddle/routing/LoadBalancer.h
@@ -110,6 +110,10 @@
   void Sample(Candidates& aCandidates, const std::string& aZone);
   double ServiceMs(const NodeState& aState, const std::string& aRoute) const;
   double OtherNodesCalls(const NodeState& aState, Timestamp aNow) const;
+  /** Returns the factor for what a node reported, which is soon out of date. */
+  double ReportDecay(const NodeState& aState, Timestamp aNow) const;
+  /** Returns the expected wait of a call for a server's rate limit. */
+  double RateWaitMs(const NodeState& aState, Timestamp aNow) const;
 
   LoadBalancerOptions mOptions;
   std::mt19937_64 mRandom;
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -125,13 +125,24 @@
 
   ServerLoad Load(const std::string& aRoute) const
   {
-    const bool takesCalls = mBackend && Now() >= mUnreachableUntil;
-    return { mSlots.Busy(),
-             static_cast<std::uint32_t>(mSlots.Queued()),
-             takesCalls ? mSlots.Slots() : 0,
-             static_cast<std::uint32_t>(std::lround(mSlots.ServiceMs())),
-             static_cast<std::uint32_t>(std::lround(RouteMs(aRoute))),
-             static_cast<std::uint32_t>(std::lround(mFailedShare * kPercent)) };
+    const Timestamp now = Now();
+    const bool takesCalls = mBackend && now >= mUnreachableUntil;
+    const auto rounded = [](double aValue) {
+      return static_cast<std::uint32_t>(std::lround(aValue));
+    };
+    ServerLoad load;
+    load.busy = mSlots.Busy();
+    load.queued = static_cast<std::uint32_t>(mSlots.Queued());
+    load.slots = takesCalls ? mSlots.Slots() : 0;
+    load.serviceMs = rounded(mSlots.ServiceMs());
+    load.routeMs = rounded(RouteMs(aRoute));
+    load.failedPercent = rounded(mFailedShare * kPercent);
+    load.rateIntervalUs =
+      static_cast<std::uint32_t>(mRateLimit.CallInterval().count());
+    load.rateWaitMs = static_cast<std::uint32_t>(
+      std::chrono::ceil<Milliseconds>(mRateLimit.WaitFor(mSlots.Queued(), now))
+        .count());
+    return load;
   }
 
   void CountSlowInFlight()
--- a/src/backends/ServerRateLimit.cpp
+++ b/src/backends/ServerRateLimit.cpp
@@ -18,6 +18,13 @@
  * call now and then, since only its answers can lift the limit. */
 constexpr double kMinRate = 0.25;
 
+/** Returns the rate that is used for a server that names a rate. */
+double
+UsedRate(double aNamedRate)
+{
+  return std::max(aNamedRate, kMinRate);
+}
+
 } // namespace
 
 std::optional<double>
@@ -47,7 +54,7 @@
     return false;
   }
   if (aRate) {
-    const double rate = std::max(*aRate, kMinRate);
+    const double rate = UsedRate(*aRate);
     if (!mRate) {
       // Starts empty: the calls in progress count against the limit, too.
       mBucket = routing::TokenBucket(rate, 0);
@@ -69,6 +76,14 @@
   return !mRate || mBucket.Take(aNow);
 }
 
+Microseconds
+ServerRateLimit::CallInterval() const
+{
+  return mRate ? std::chrono::ceil<Microseconds>(
+                   std::chrono::duration<double>(1 / UsedRate(*mRate)))
+               : Microseconds(0);
+}
+
 Microseconds
 ServerRateLimit::WaitFor(std::size_t aCallsAhead, Timestamp aNow) const
 {
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -64,39 +64,53 @@
   return out;
 }
 
-/** Returns "busy,queued,slots,serviceMs,routeMs,failedPercent". */
+using LoadField = std::uint32_t backends::ServerLoad::*;
+
+/** Fields of the header "load", in order. */
+constexpr std::array<LoadField, 6> kLoadFields{
+  &backends::ServerLoad::busy,    &backends::ServerLoad::queued,
+  &backends::ServerLoad::slots,   &backends::ServerLoad::serviceMs,
+  &backends::ServerLoad::routeMs, &backends::ServerLoad::failedPercent,
+};
+/** Fields of the header "rate", in order; left out without a rate limit. */
+constexpr std::array<LoadField, 2> kRateFields{
+  &backends::ServerLoad::rateIntervalUs,
+  &backends::ServerLoad::rateWaitMs,
+};
+
+/** Returns the values of fields, separated by commas. */
+template<std::size_t N>
 std::string
-EncodeLoad(const backends::ServerLoad& aLoad)
+EncodeFields(const backends::ServerLoad& aLoad,
+             const std::array<LoadField, N>& aFields)
 {
   std::string text;
-  for (const std::uint32_t it : { aLoad.busy,
-                                  aLoad.queued,
-                                  aLoad.slots,
-                                  aLoad.serviceMs,
-                                  aLoad.routeMs,
-                                  aLoad.failedPercent }) {
-    text += (text.empty() ? "" : ",") + std::to_string(it);
+  for (const LoadField it : aFields) {
+    text += (text.empty() ? "" : ",") + std::to_string(aLoad.*it);
   }
   return text;
 }
 
-std::optional<backends::ServerLoad>
-DecodeLoad(const std::string& aText)
+/** Sets fields from values separated by commas; false if one is missing or
+ * invalid. */
+template<std::size_t N>
+bool
+DecodeFields(const std::string& aText,
+             const std::array<LoadField, N>& aFields,
+             backends::ServerLoad& aLoad)
 {
-  std::array<std::uint32_t, 6> values{};
   const char* at = aText.data();
   const char* last = aText.data() + aText.size();
-  for (std::size_t n = 0; n < values.size(); ++n) {
-    const auto [end, ec] = std::from_chars(at, last, values[n]);
-    const bool ends = n + 1 == values.size();
+  for (std::size_t n = 0; n < N; ++n) {
+    const auto [end, ec] = std::from_chars(at, last, aLoad.*aFields[n]);
+    const bool ends = n + 1 == N;
     if (ec != std::errc() ||
         (ends ? end != last : end == last || *end != ',')) {
-      return std::nullopt;
+      return false;
     }
     at = ends ? end : end + 1;
   }
-  return backends::ServerLoad{ values[0], values[1], values[2],
-                               values[3], values[4], values[5] };
+  return true;
 }
 
 } // namespace
@@ -204,9 +218,12 @@
     { "outcome",
       std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) },
     { "status", std::to_string(aResult.status) },
-    { "load", EncodeLoad(aLoad) },
+    { "load", EncodeFields(aLoad, kLoadFields) },
     { "length", std::to_string(aResult.body.size()) }
   };
+  if (aLoad.rateIntervalUs > 0) {
+    response.headers.push_back({ "rate", EncodeFields(aLoad, kRateFields) });
+  }
   if (!aResult.reason.empty()) {
     response.headers.push_back({ "reason", aResult.reason });
   }
@@ -229,15 +246,18 @@
   };
   const auto outcome = ValueOf(callers::kCallOutcomeNames, header("outcome"));
   const auto status = ParseUnsigned(header("status"));
-  const auto load = DecodeLoad(header("load"));
+  backends::ServerLoad load;
+  const bool hasLoad =
+    DecodeFields(header("load"), kLoadFields, load) &&
+    (header("rate").empty() || DecodeFields(header("rate"), kRateFields, load));
   const auto length = ParseUnsigned(header("length"));
-  if (aResponse.status != kStatusOk || !outcome || !status || !load ||
+  if (aResponse.status != kStatusOk || !outcome || !status || !hasLoad ||
       !length || *length != aResponse.body.size() ||
       header("call-id") != aCallId) {
     return std::nullopt;
   }
   DecodedCallResult decoded;
-  decoded.load = *load;
+  decoded.load = load;
   decoded.result.outcome = *outcome;
   decoded.result.status = static_cast<int>(*status);
   decoded.result.reason = header("reason");
--- a/src/routing/LoadBalancer.cpp
+++ b/src/routing/LoadBalancer.cpp
@@ -18,6 +18,7 @@
 /** Weight of one report in the moving average of a route's service time. */
 constexpr double kRouteAverageWeight = 0.05;
 constexpr double kPercent = 100;
+constexpr double kMicrosecondsPerMs = 1000;
 
 } // namespace
 
@@ -141,13 +142,31 @@
   const double reported = aState.load.busy + aState.load.queued;
   const double otherCalls =
     std::max(0.0, reported - static_cast<double>(aState.outstandingAtReport));
+  return otherCalls * ReportDecay(aState, aNow);
+}
+
+double
+LoadBalancer::ReportDecay(const NodeState& aState, Timestamp aNow) const
+{
   const std::chrono::duration<double, std::milli> age =
     aNow - aState.reportedAt;
-  return otherCalls *
-         std::exp2(-age.count() /
+  return std::exp2(-age.count() /
                    static_cast<double>(mOptions.loadHalfLife.count()));
 }
 
+double
+LoadBalancer::RateWaitMs(const NodeState& aState, Timestamp aNow) const
+{
+  if (aState.load.rateIntervalUs == 0) {
+    return 0;
+  }
+  const std::uint32_t sentSinceReport =
+    aState.outstanding -
+    std::min(aState.outstanding, aState.outstandingAtReport);
+  return aState.load.rateWaitMs * ReportDecay(aState, aNow) +
+         sentSinceReport * aState.load.rateIntervalUs / kMicrosecondsPerMs;
+}
+
 double
 LoadBalancer::Cost(const Target& aTarget,
                    const PickCriteria& aCriteria,
@@ -162,7 +181,9 @@
   const double slotHoldMs =
     state.load.serviceMs > 0 ? state.load.serviceMs : service;
   const double crowding = 1 + kCrowdingPenalty * std::min(1.0, calls / slots);
-  const double waitMs = slotHoldMs * std::max(0.0, calls + 1 - slots) / slots;
+  const double waitMs =
+    std::max(slotHoldMs * std::max(0.0, calls + 1 - slots) / slots,
+             RateWaitMs(state, aNow));
   const double failures =
     1 + kFailurePenalty * state.load.failedPercent / kPercent;
   const double zonePenaltyMs =
--- a/tests/nodes/LinkTest.cpp
+++ b/tests/nodes/LinkTest.cpp
@@ -256,7 +256,7 @@
   result.status = 200;
   result.callId = "call-1";
   result.body = "ring";
-  const backends::ServerLoad load{ 3, 2, 12, 40, 35, 5 };
+  const backends::ServerLoad load{ 3, 2, 12, 40, 35, 5, 29'586, 12 };
   const LinkResponse response = EncodeCallResult(result, load);
   CHECK(DecodeCallResult(response, "call-1")->load == load);
   CHECK_FALSE(DecodeCallResult(response, "call-2").has_value());
--- a/tests/routing/RoutingTest.cpp
+++ b/tests/routing/RoutingTest.cpp
@@ -272,3 +272,25 @@
   CHECK(pick("short", 100) == nodes::NodeId{ 1 });
   CHECK(pick("long", 400) == nodes::NodeId{ 2 });
 }
+
+TEST_CASE("a server that has reached its rate limit is avoided until the limit "
+          "allows calls again",
+          "[routing]")
+{
+  LoadBalancer balancer(LoadBalancerOptions{}, 1);
+  const RoutingView view = ViewOf(1, 1);
+  backends::ServerLoad limited;
+  limited.slots = 10;
+  limited.serviceMs = 50;
+  limited.routeMs = 50;
+  limited.rateIntervalUs = 100'000;
+  balancer.ReportLoad(nodes::NodeId{ 1 }, "r", limited, kNow);
+  CHECK(LocalPicks(balancer, view, 50) == 50);
+  // Each call sent since the report takes one interval more.
+  balancer.Start(nodes::NodeId{ 1 });
+  CHECK(LocalPicks(balancer, view, 50) == 0);
+  balancer.Finish(nodes::NodeId{ 1 }, true, kNow);
+  limited.rateWaitMs = 100;
+  balancer.ReportLoad(nodes::NodeId{ 1 }, "r", limited, kNow);
+  CHECK(LocalPicks(balancer, view, 50) == 0);
+}
