Send no calls to a server whose answers say that it leaves

Callers could lose calls to a server that ends, and the users' rule DRAIN now binds from such an answer on. Cause: a server's leaving was learned from its own reports alone; the class is that of the rate limit, a signal in answers that nobody decodes. Change: the owner stops at the first answer with that header, refuses what is queued, and remembers the server by id and start time (DepartedServers, taken out of BackendServerTracker), so that a report that was under way can't register it again; a later start under the same id is accepted.

--- a/include/knapweedpaddle/backends/BackendDialect.h
+++ b/include/knapweedpaddle/backends/BackendDialect.h
@@ -22,6 +22,9 @@
   /** Response header: calls a second that the server takes from all callers
    * together, as a decimal number. */
   std::string rateLimit = "knapweed-rate-limit";
+  /** Response header: "1" says that the server leaves and must get no more
+   * calls. */
+  std::string leaving = "knapweed-leaving";
   bool echoesCallId = false; ///< responses repeat the callId header
 };
 
--- a/include/knapweedpaddle/backends/BackendDispatcher.h
+++ b/include/knapweedpaddle/backends/BackendDispatcher.h
@@ -47,7 +47,10 @@
   std::string service;
   std::string version;
   std::uint32_t slots = 0;
-  std::string id{}; ///< instance id, new for each server start; may be empty
+  std::string id{}; ///< instance id, mostly new for each start; may be empty
+  /** Unix time of the server's start, which with the id identifies it; 0 if
+   * unknown. */
+  std::uint64_t startedAtMs = 0;
 
   bool operator==(const BackendServer&) const = default;
 };
@@ -93,6 +96,9 @@
     telemetry::Metrics& metrics;
     telemetry::Tracer& tracer;
     BackendDialect dialect;
+    /** Called when an answer says that the registered server is leaving; it
+     * gets no more calls from then on. May be empty. */
+    std::function<void(const BackendServer&)> onLeaving{};
   };
 
   BackendDispatcher(Services aServices, std::uint32_t aCheckSlots);
@@ -100,7 +106,8 @@
   BackendDispatcher(const BackendDispatcher&) = delete;
   BackendDispatcher& operator=(const BackendDispatcher&) = delete;
 
-  /** Sets the backend server; nothing while no server accepts calls. */
+  /** Sets the backend server; nothing while no server accepts calls. A server
+   * whose answers said that it leaves is not accepted. */
   void SetBackend(std::optional<BackendServer> aBackend);
 
   /** Identifies a call passed to Run(). */
--- a/include/knapweedpaddle/backends/BackendServerTracker.h
+++ b/include/knapweedpaddle/backends/BackendServerTracker.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "knapweedpaddle/backends/DepartedServers.h"
 #include "knapweedpaddle/backends/ServerReport.h"
 
-#include <map>
 #include <optional>
 
 namespace knapweedpaddle::backends {
@@ -45,6 +45,14 @@
    */
   bool Expire(Timestamp aNow, Milliseconds aMaxReportAge);
 
+  /**
+   * Records that a server said in its answers that it is leaving; a server that
+   * is registered here accepts no more calls.
+   *
+   * @return true when it was the registered server and accepted calls so far.
+   */
+  bool OnLeaving(const std::string& aId, std::uint64_t aStartedAtMs);
+
   /** Returns the server if it accepts calls, otherwise null. */
   const ServerReport* Ready() const;
 
@@ -61,8 +69,7 @@
   std::string mAddress;
   std::optional<ServerReport> mLatest;
   Timestamp mLastReportAt{};
-  /** Newest startedAtMs of each draining or gone server, by server id. */
-  std::map<std::string, std::uint64_t> mDepartedServers;
+  DepartedServers mDepartedServers;
 };
 
 } // namespace knapweedpaddle::backends
--- a/include/knapweedpaddle/node/FleetCore.h
+++ b/include/knapweedpaddle/node/FleetCore.h
@@ -77,6 +77,10 @@
   void OnServerReport(const backends::ServerReport& aReport,
                       std::function<void()> aDone);
 
+  /** Handles that this node's backend server said in an answer that it leaves.
+   */
+  void OnServerLeaving(const backends::BackendServer& aServer);
+
   /** Takes the call counts of this node's backend server, for rollouts. */
   void TakeEvidence(const backends::EvidenceTable& aEvidence);
 
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/backends/BackendDispatcher.h"
 
+#include "knapweedpaddle/backends/DepartedServers.h"
 #include "knapweedpaddle/backends/ServerRateLimit.h"
 #include "knapweedpaddle/http/Client.h"
 #include "knapweedpaddle/routing/VersionSelector.h"
@@ -36,9 +37,19 @@
 /** Weight of one call in the moving average of a route's service time. */
 constexpr double kRouteTimeSmoothing = 0.1;
 constexpr double kPercent = 100;
+/** Value of the response header BackendDialect::leaving. */
+constexpr std::string_view kLeaving = "1";
 /** Value of the metric for the rate limit while the server names none. */
 constexpr double kNoRateLimit = -1;
 
+/** Returns true if both are the same start of the same server. */
+bool
+IsSameStart(const BackendServer& aFirst, const BackendServer& aSecond)
+{
+  return aFirst.id == aSecond.id && aFirst.address == aSecond.address &&
+         aFirst.startedAtMs == aSecond.startedAtMs;
+}
+
 CallResult
 NotRunResult(const ForwardedCall& aCall, std::string aReason)
 {
@@ -62,6 +73,7 @@
     bool holdsSlot = false;
     bool dispatched = false;
     bool countedSlow = false; ///< counted as slow before it ended
+    BackendServer server;     ///< server to which the call was dispatched
     http::Client::RequestId request = 0;
     Timestamp sentAt;
     std::int64_t sentAtWallMicroseconds = 0;
@@ -80,6 +92,10 @@
 
   void SetBackend(std::optional<BackendServer> aBackend)
   {
+    if (aBackend &&
+        mDepartedServers.Contains(aBackend->id, aBackend->startedAtMs)) {
+      aBackend.reset();
+    }
     if (mBackend && aBackend && mBackend->id != aBackend->id) {
       mUnreachableUntil = {};
       mRateLimit.Lift();
@@ -324,6 +340,7 @@
     const auto span = mServices.tracer.Child(call.trace);
     ++mDispatchedCalls;
     pending.dispatched = true;
+    pending.server = *mBackend;
     pending.sentAt = now;
     pending.sentAtWallMicroseconds = WallMicroseconds();
     pending.request =
@@ -387,6 +404,7 @@
                               std::chrono::duration<double>(elapsed).count());
     if (aResponse) {
       NoteRateLimit(*aResponse, pending.sentAt);
+      NoteLeaving(*aResponse, pending.server);
     }
     CallResult result = ResultOf(pending.call, std::move(aResponse), aReason);
     if (result.outcome == CallOutcome::kNotRun) {
@@ -419,6 +437,40 @@
     }
   }
 
+  /** Stops sending calls to a server whose response says that it leaves. */
+  void NoteLeaving(const http::Response& aResponse,
+                   const BackendServer& aServer)
+  {
+    const std::string& name = mServices.dialect.leaving;
+    const std::string* value =
+      name.empty() ? nullptr : http::FindHeader(aResponse.headers, name);
+    if (!value || *value != kLeaving) {
+      return;
+    }
+    // Without an id, a later start of the server can't be told from this one.
+    if (!aServer.id.empty()) {
+      mDepartedServers.Record(aServer.id, aServer.startedAtMs);
+    }
+    if (!mBackend || !IsSameStart(*mBackend, aServer)) {
+      return;
+    }
+    LogEvent(telemetry::LogCategory::kBackend,
+             telemetry::LogLevel::kInfo,
+             "server_leaving",
+             { { "server", aServer.id } });
+    RemoveBackend();
+    if (mServices.onLeaving) {
+      mServices.onLeaving(aServer);
+    }
+  }
+
+  /** Refuses queued and further calls until a backend server is set again. */
+  void RemoveBackend()
+  {
+    mBackend.reset();
+    mSlots.SetSlots(0);
+  }
+
   /** Logs a rate limit with the number of calls sent so far, which tells the
    * rate that the server got between two such lines. */
   void LogRateLimit(const char* aEvent, const std::string& aLimit)
@@ -462,8 +514,7 @@
       if (misdirected) {
         // The address now belongs to another server, whose report will register
         // it.
-        mBackend.reset();
-        mSlots.SetSlots(0);
+        RemoveBackend();
       }
       return result;
     }
@@ -574,6 +625,7 @@
   SlotQueue mSlots;
   std::uint64_t mDispatchedCalls = 0;
   std::optional<BackendServer> mBackend;
+  DepartedServers mDepartedServers; ///< servers whose answers said so
   RunId mLastRun = 0;
   std::unordered_map<RunId, PendingCall> mPending;
   EvidenceTable mEvidence;
--- a/src/backends/BackendServerTracker.cpp
+++ b/src/backends/BackendServerTracker.cpp
@@ -2,12 +2,6 @@
 
 namespace knapweedpaddle::backends {
 
-namespace {
-
-constexpr std::size_t kMaxDepartedServers = 64; ///< limits the memory used
-
-} // namespace
-
 BackendServerTracker::BackendServerTracker(std::string aAddress)
   : mAddress(std::move(aAddress))
 {
@@ -60,6 +54,19 @@
   return true;
 }
 
+bool
+BackendServerTracker::OnLeaving(const std::string& aId,
+                                std::uint64_t aStartedAtMs)
+{
+  mDepartedServers.Record(aId, aStartedAtMs);
+  if (!Ready() ||
+      !mDepartedServers.Contains(mLatest->id, mLatest->startedAtMs)) {
+    return false;
+  }
+  mLatest->state = ReportedState::kDraining;
+  return true;
+}
+
 const ServerReport*
 BackendServerTracker::Ready() const
 {
@@ -70,9 +77,8 @@
 bool
 BackendServerTracker::IsOutdated(const ServerReport& aReport) const
 {
-  if (const auto it = mDepartedServers.find(aReport.id);
-      it != mDepartedServers.end() && aReport.state == ReportedState::kReady &&
-      aReport.startedAtMs <= it->second) {
+  if (aReport.state == ReportedState::kReady &&
+      mDepartedServers.Contains(aReport.id, aReport.startedAtMs)) {
     return true;
   }
   if (!mLatest) {
@@ -91,11 +97,7 @@
   if (startedAt == 0 && mLatest && mLatest->id == aReport.id) {
     startedAt = mLatest->startedAtMs;
   }
-  if (mDepartedServers.size() >= kMaxDepartedServers) {
-    mDepartedServers.erase(mDepartedServers.begin());
-  }
-  std::uint64_t& latest = mDepartedServers[aReport.id];
-  latest = std::max(latest, startedAt);
+  mDepartedServers.Record(aReport.id, startedAt);
 }
 
 } // namespace knapweedpaddle::backends
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -186,14 +186,23 @@
   }
   std::optional<backends::BackendServer> backend;
   if (const ServerReport* ready = mBackendServer.Ready()) {
-    backend = backends::BackendServer{
-      ready->address, ready->service, ready->version, ready->slots, ready->id
-    };
+    backend = backends::BackendServer{ ready->address, ready->service,
+                                       ready->version, ready->slots,
+                                       ready->id,      ready->startedAtMs };
   }
   mServices.setBackend(std::move(backend), std::move(aDone));
   UpdateSelf();
 }
 
+void
+FleetCore::OnServerLeaving(const backends::BackendServer& aServer)
+{
+  if (mBackendServer.OnLeaving(aServer.id, aServer.startedAtMs)) {
+    mServices.setBackend(std::nullopt, {});
+    UpdateSelf();
+  }
+}
+
 void
 FleetCore::Leave()
 {
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -162,6 +162,10 @@
                      [this, aEvidence] { mCore.TakeEvidence(aEvidence); });
                  },
                  [this] { mControlLoop.Post([this] { mCore.OnPause(); }); },
+                 [this](const backends::BackendServer& aServer) {
+                   mControlLoop.Post(
+                     [this, aServer] { mCore.OnServerLeaving(aServer); });
+                 },
                  {} },
                TrafficOptions(mSettings, mPlatform),
                RandomSeed())
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -76,6 +76,7 @@
                    mControl.TakeEvidence(aEvidence);
                  },
                  [this] { mControl.OnPause(); },
+                 {},
                  [this](callers::CallRequest aRequest,
                         callers::CallerServer::Respond aRespond) {
                    mControl.HandleNodeRequest(std::move(aRequest),
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -31,7 +31,8 @@
                   mServices.claims,
                   mServices.metrics,
                   mServices.tracer,
-                  mOptions.backendDialect },
+                  mOptions.backendDialect,
+                  mServices.onServerLeaving },
                 mOptions.checkSlots)
   , mLinks(mServices.loop, mOptions.links)
   , mForwarder({ mServices.loop,
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -33,6 +33,9 @@
     std::function<void(const backends::EvidenceTable&)> onEvidence;
     /** Runs after a pause of the process. */
     std::function<void()> onPause;
+    /** Runs when this node's backend server says that it is leaving; may be
+     * empty. */
+    std::function<void(const backends::BackendServer&)> onServerLeaving;
     /** Answers HTTP requests for the node itself; empty if there are none. */
     std::function<void(callers::CallRequest, callers::CallerServer::Respond)>
       onNodeRequest;
--- a/tests/backends/BackendDispatcherTest.cpp
+++ b/tests/backends/BackendDispatcherTest.cpp
@@ -38,7 +38,8 @@
   {
     const std::string address = fakes::FreeAddress();
     REQUIRE(server.Listen(address));
-    dispatcher.SetBackend(BackendServer{ address, "svc", "v2", 4, "i-1" });
+    backend = { address, "svc", "v2", 4, "i-1", 1000 };
+    dispatcher.SetBackend(backend);
   }
 
   void Run()
@@ -88,6 +89,7 @@
   std::vector<http::ExchangePtr> pending;
   http::Server server;
   BackendDispatcher dispatcher;
+  BackendServer backend;
   int answered = 0;
 };
 
@@ -159,3 +161,29 @@
   it.RunCallsFor(Milliseconds(500));
   CHECK(it.arrivals.size() - before >= 5 * kRate);
 }
+
+TEST_CASE("a backend server whose answers say that it leaves gets no further "
+          "calls, also when it is registered again",
+          "[owner]")
+{
+  Fixture it;
+  it.answersAtOnce = true;
+  it.answerHeaders = { { "knapweed-leaving", "1" } };
+  it.Run();
+  it.RunLoopFor(Milliseconds(50));
+  REQUIRE(it.arrivals.size() == 1);
+  it.Run();
+  // A report that was under way when the answer came.
+  it.dispatcher.SetBackend(it.backend);
+  it.Run();
+  it.RunLoopFor(Milliseconds(50));
+  CHECK(it.arrivals.size() == 1);
+  CHECK(it.answered == 3);
+  // The same instance after a restart, and another one.
+  it.answerHeaders.clear();
+  it.backend.startedAtMs += 1;
+  it.dispatcher.SetBackend(it.backend);
+  it.Run();
+  it.RunLoopFor(Milliseconds(50));
+  CHECK(it.arrivals.size() == 2);
+}
--- a/tests/backends/BackendServerTrackerTest.cpp
+++ b/tests/backends/BackendServerTrackerTest.cpp
@@ -47,6 +47,22 @@
   CHECK(tracker.Ready()->sequence == 3);
 }
 
+TEST_CASE("a server that said in an answer that it leaves is not ready again "
+          "until it restarts",
+          "[ledger]")
+{
+  BackendServerTracker tracker(kAddress);
+  CHECK_FALSE(tracker.OnLeaving("other", 50));
+  CHECK(tracker.Apply(Report("a", 100, 1), kNow) == ReportOutcome::kAccepted);
+  CHECK(tracker.OnLeaving("a", 100));
+  CHECK_FALSE(tracker.OnLeaving("a", 100));
+  CHECK_FALSE(tracker.Ready());
+  CHECK(tracker.Apply(Report("a", 100, 2), kNow) == ReportOutcome::kOutdated);
+  CHECK_FALSE(tracker.Ready());
+  CHECK(tracker.Apply(Report("a", 101, 1), kNow) == ReportOutcome::kAccepted);
+  CHECK(tracker.Ready());
+}
+
 TEST_CASE("reports of an earlier server start are outdated", "[ledger]")
 {
   BackendServerTracker tracker(kAddress);
