Give up answers without end before they use up processor or memory

Callers of a backend server that sends bytes without end waited until their deadline, while the owner read. Cause: only headers and bodies of one message were limited; interim responses and responses to other requests began a new message each, without a limit, and up to 64 MB a body were kept for each connection, more than a small VM has. Change: the client counts the bytes received for a request whatever they are, gives up after 16 such extra responses, and limits what all requests in progress have received together, where the largest fails.

--- a/include/knapweedpaddle/http/Client.h
+++ b/include/knapweedpaddle/http/Client.h
@@ -42,7 +42,10 @@
    * checked.
    */
   std::string correlationHeader;
-  std::size_t maxResponseBytes = 64UL * 1024 * 1024; ///< limit of the body
+  /** Limit of the bytes received for one request. */
+  std::size_t maxResponseBytes = 64UL * 1024 * 1024;
+  /** Limit of the bytes that all requests in progress have received. */
+  std::size_t maxBufferedBytes = 64UL * 1024 * 1024;
 };
 
 /**
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -3,6 +3,7 @@
 #include "ClientConnection.h"
 #include "runtime/SocketAddress.h"
 
+#include <algorithm>
 #include <list>
 #include <unordered_map>
 
@@ -66,6 +67,7 @@
     mFailedRequests.erase(aRequest);
     if (const auto it = mActiveRequests.find(aRequest);
         it != mActiveRequests.end()) {
+      mBufferedBytes -= it->second->connection->ExchangeBytes();
       CloseDeferred(it->second);
       mActiveRequests.erase(it);
     }
@@ -104,6 +106,7 @@
                       const ClientReason& aReason) {
           OnResponse(entry, std::move(aResponse), aReason);
         },
+        [this](std::size_t aBytes) { OnReceived(aBytes); },
         [this, entry] { CloseDeferred(entry); } });
     if (!entry->connection->Connect(*mAddress)) {
       mPool.erase(entry);
@@ -112,12 +115,31 @@
     return entry;
   }
 
+  /** Aborts the largest of the responses in progress if they are too large
+   * together. */
+  void OnReceived(std::size_t aBytes)
+  {
+    mBufferedBytes += aBytes;
+    if (mBufferedBytes <= mOptions.maxBufferedBytes) {
+      return;
+    }
+    const auto largest =
+      std::ranges::max_element(mActiveRequests, {}, [](const auto& aItem) {
+        return aItem.second->connection->ExchangeBytes();
+      });
+    largest->second->connection->Abort(
+      "the responses in progress exceed " +
+      std::to_string(mOptions.maxBufferedBytes) +
+      " bytes, and this is the largest");
+  }
+
   void OnResponse(Pool::iterator aEntry,
                   std::optional<Response> aResponse,
                   const ClientReason& aReason)
   {
     const Callback callback = std::move(aEntry->callback);
     mActiveRequests.erase(aEntry->request);
+    mBufferedBytes -= aEntry->connection->ExchangeBytes();
     aEntry->request = 0;
     if (!aEntry->connection->IsReusable()) {
       CloseDeferred(aEntry);
@@ -144,6 +166,7 @@
   std::optional<sockaddr_in> mAddress;
   RequestId mLastId = 0;
   std::uint64_t mConnectionsOpened = 0;
+  std::size_t mBufferedBytes = 0; ///< received by the requests in progress
   Pool mPool;
   std::unordered_map<RequestId, Pool::iterator> mActiveRequests;
   /** Requests that got no connection and whose callback has not run yet. */
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+/** Interim responses, and responses to other requests, that may come before the
+ * expected one. */
+constexpr std::size_t kMaxSkippedResponses = 16;
 /** An idle connection is closed this long before the server would close it, so
  * that no request is sent while the server closes it. */
 constexpr Milliseconds kKeepAliveMargin{ 500 };
@@ -107,6 +110,8 @@
   mAwaitingResponse = true;
   mHeadRequest = aRequest.method == "HEAD";
   mDroppedOtherResponse = false;
+  mExchangeBytes = 0;
+  mSkippedResponses = 0;
   const std::string* id =
     mOptions.correlationHeader.empty()
       ? nullptr
@@ -125,6 +130,12 @@
   }
 }
 
+void
+ClientConnection::Abort(const std::string& aReason)
+{
+  Fail(ClientError::kMalformed, aReason);
+}
+
 void
 ClientConnection::Detach()
 {
@@ -156,6 +167,16 @@
   const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
   const std::size_t used = mParser.Feed(data, size);
   evbuffer_drain(input, used);
+  mExchangeBytes += used;
+  mHandler.onReceived(used);
+  if (!mAwaitingResponse) {
+    return; // aborted
+  }
+  if (mExchangeBytes > mOptions.maxResponseBytes) {
+    Abort("the response exceeds " + std::to_string(mOptions.maxResponseBytes) +
+          " bytes");
+    return;
+  }
   switch (mParser.CurrentState()) {
     case MessageParser::State::kReading:
       return;
@@ -179,6 +200,10 @@
   const bool interim = response.status < kFirstFinalStatus;
   if (interim || AnswersOtherRequest(response)) {
     mDroppedOtherResponse |= !interim;
+    if (++mSkippedResponses > kMaxSkippedResponses) {
+      Abort("too many interim responses or responses to other requests");
+      return;
+    }
     mParser.Restart({ ParseLimits{}.headerBytes, mOptions.maxResponseBytes },
                     mHeadRequest);
     if (hasMoreInput) {
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -22,6 +22,8 @@
     /** Called when an exchange has ended, with its response or its failure. */
     std::function<void(std::optional<Response>, const ClientReason&)>
       onResponse;
+    /** Called for each part of a response, with its bytes. May call Abort(). */
+    std::function<void(std::size_t)> onReceived;
     /** Called when the connection closes between two exchanges. */
     std::function<void()> onIdleClosed;
   };
@@ -40,10 +42,15 @@
    * exchange is in progress. */
   void Send(const Request& aRequest);
 
+  /** Ends the exchange in progress as failed; onResponse is called. */
+  void Abort(const std::string& aReason);
+
   /** Stops all input and output; no handler is called after this. */
   void Detach();
 
   bool IsReusable() const { return mReusable; }
+  /** Returns the bytes received in the last exchange. */
+  std::size_t ExchangeBytes() const { return mExchangeBytes; }
   Timestamp IdleSince() const { return mIdleSince; }
 
 private:
@@ -71,6 +78,8 @@
   bool mReusable = true;
   bool mHeadRequest = false;
   bool mDroppedOtherResponse = false; ///< another request's response came
+  std::size_t mExchangeBytes = 0;     ///< bytes received since Send()
+  std::size_t mSkippedResponses = 0;  ///< interim and others' since Send()
 };
 
 } // namespace knapweedpaddle::http
--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -8,9 +8,11 @@
 #include "knapweedpaddle/runtime/EventLoop.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace knapweedpaddle;
@@ -414,3 +416,207 @@
   }));
   CHECK_FALSE(called);
 }
+
+namespace {
+
+/** A server that answers on each connection with a start and then with a part
+ * that it repeats until the client closes the connection. */
+class EndlessServer
+{
+public:
+  EndlessServer(std::string aStart, const std::string& aPart)
+    : mStart(std::move(aStart))
+  {
+    while (mBlock.size() < kBlockBytes) {
+      mBlock += aPart;
+    }
+    mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(
+      bind(mListener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
+    listen(mListener, 8);
+    socklen_t size = sizeof(bound);
+    getsockname(mListener, reinterpret_cast<sockaddr*>(&bound), &size);
+    address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+    mThread = std::thread([this] { Accept(); });
+  }
+
+  ~EndlessServer()
+  {
+    stopped = true;
+    shutdown(mListener, SHUT_RDWR);
+    mThread.join();
+    close(mListener);
+  }
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+
+  std::string address;
+  std::atomic<std::size_t> bytesSent = 0;
+  std::atomic<std::size_t> openConnections = 0;
+  std::atomic<bool> stopped = false;
+
+private:
+  static constexpr std::size_t kBlockBytes = 16UL * 1024;
+
+  void Accept()
+  {
+    std::vector<std::thread> writers;
+    for (int fd = 0; (fd = accept(mListener, nullptr, nullptr)) >= 0;) {
+      ++openConnections;
+      writers.emplace_back([this, fd] {
+        Write(fd);
+        close(fd);
+        --openConnections;
+      });
+    }
+    for (auto& it : writers) {
+      it.join();
+    }
+  }
+
+  void Write(int aSocket)
+  {
+    std::string buf(4096, '\0');
+    recv(aSocket, buf.data(), buf.size(), 0);
+    const timeval timeout{ 0, 100'000 };
+    setsockopt(aSocket, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
+    send(aSocket, mStart.data(), mStart.size(), MSG_NOSIGNAL);
+    while (!stopped) {
+      const ssize_t n =
+        send(aSocket, mBlock.data(), mBlock.size(), MSG_NOSIGNAL);
+      if (n < 0 && errno != EAGAIN) {
+        return;
+      }
+      bytesSent += n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+  }
+
+  std::string mStart;
+  std::string mBlock;
+  int mListener = -1;
+  std::thread mThread;
+};
+
+} // namespace
+
+TEST_CASE("an answer without end is given up within the limit of its bytes",
+          "[http]")
+{
+  struct Case
+  {
+    const char* name;
+    std::string start;
+    std::string part;
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nId: 7\r\n";
+  const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<Case> cases{
+    { "reason phrase", "HTTP/1.1 200 ", "a" },
+    { "header line", head + "X: ", "a" },
+    { "header lines", head, "X: a\r\n" },
+    { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "responses to other requests",
+      "",
+      "HTTP/1.1 200 OK\r\nId: 8\r\nContent-Length: 0\r\n\r\n" },
+    { "chunks", chunkedHead, "1\r\na\r\n" },
+    { "chunk size line", chunkedHead + "1;", "a" },
+    { "trailer", chunkedHead + "0\r\n", "X: a\r\n" },
+    { "body that ends with the connection", head + "\r\n", "a" },
+  };
+  for (const auto& it : cases) {
+    for (const int requests : { 1, 6 }) {
+      INFO(it.name << ", " << requests << " at once");
+      EventLoop loop;
+      EndlessServer server(it.start, it.part);
+      ClientOptions options;
+      options.correlationHeader = "Id";
+      options.maxResponseBytes = 512UL * 1024;
+      options.maxBufferedBytes = 1024UL * 1024;
+      Client client(loop, options);
+      client.SetAddress(server.address);
+      int failed = 0;
+      for (int n = 0; n < requests; ++n) {
+        Request request;
+        request.method = "GET";
+        request.target = "/";
+        request.headers = { { "Id", "7" } };
+        client.Send(request,
+                    Milliseconds(1000),
+                    [&failed](const std::optional<Response>& aResponse,
+                              const ClientReason& aReason) {
+                      CHECK_FALSE(aResponse);
+                      CHECK(aReason.code == ClientError::kMalformed);
+                      ++failed;
+                    });
+      }
+      CHECK(RunUntil(loop, [&] {
+        return failed == requests && server.openConnections == 0;
+      }));
+      CHECK(failed == requests);
+      // What the sockets buffer comes on top.
+      const std::size_t socketBytes = 8UL * 1024 * 1024;
+      CHECK(server.bytesSent <= static_cast<std::size_t>(requests) *
+                                  (options.maxResponseBytes + socketBytes));
+    }
+  }
+}
+
+TEST_CASE("answers without end share one limit of buffered bytes", "[http]")
+{
+  constexpr int kRequests = 6;
+  EventLoop loop;
+  EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "a");
+  ClientOptions options;
+  options.maxBufferedBytes = 1024UL * 1024;
+  Client client(loop, options);
+  client.SetAddress(server.address);
+  int failed = 0;
+  for (int n = 0; n < kRequests; ++n) {
+    Request request;
+    request.method = "GET";
+    request.target = "/";
+    client.Send(
+      request,
+      Milliseconds(1000),
+      [&failed](const std::optional<Response>& aResponse, const ClientReason&) {
+        failed += aResponse ? 0 : 1;
+      });
+  }
+  CHECK(RunUntil(
+    loop, [&] { return failed == kRequests && server.openConnections == 0; }));
+  // What the sockets buffer comes on top.
+  CHECK(server.bytesSent <=
+        options.maxBufferedBytes + kRequests * 8UL * 1024 * 1024);
+  // A later request has the whole limit again.
+  bool answered = false;
+  ScriptedServer small;
+  client.SetAddress(small.address);
+  Request request;
+  request.method = "GET";
+  request.target = "/";
+  client.Send(
+    request,
+    Milliseconds(1000),
+    [&answered](const std::optional<Response>& aResponse, const ClientReason&) {
+      answered = aResponse && aResponse->body.size() == 900'000;
+    });
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n";
+  bool written = false;
+  CHECK(RunUntil(loop, [&] {
+    small.Accept();
+    if (small.peer && !written) {
+      small.peer->Write(answer + std::string(100'000, 'b'));
+      written = true;
+      for (int n = 0; n < 8; ++n) {
+        loop.RunAfter(Milliseconds(5 * (n + 1)), [&small] {
+          small.peer->Write(std::string(100'000, 'b'));
+        });
+      }
+    }
+    return answered;
+  }));
+}
