Let the stand-in server name a rate, and test it with real processes

Cause: the rate limit was tested in one process only. Change: the backend server stand-in learns to name a rate and to say that it leaves, and a process test runs six machines under load, limits one server to 20 calls a second and kills its node in between.

--- a/tests/processes/ProcessTest.cpp
+++ b/tests/processes/ProcessTest.cpp
@@ -183,6 +183,50 @@
   CheckHistory(history, "backend servers hang, die and pause");
 }
 
+TEST_CASE(
+  "servers that name a rate get no more calls, also from a node that is "
+  "restarted",
+  "[processes]")
+{
+  constexpr int kRate = 20;
+  constexpr std::int64_t kWindowMicroseconds = 4'000'000;
+  // One and a half times the rate, and 5 calls more, in any 4 s.
+  constexpr std::size_t kMaxCalls = kRate * 4 * 3 / 2 + 5;
+  TestMesh mesh(17600);
+  StartMachines(mesh);
+  CallHistory history(mesh, 6);
+  Sleep(500);
+  Machine& limited = *mesh.machines[2];
+  SendRequest("POST",
+              "http://" + limited.BackendAddress() + "/fault",
+              R"({"rate_limit":")" + std::to_string(kRate) + R"("})");
+  Sleep(500);
+  const auto from = WallMicroseconds();
+  Sleep(4000);
+  limited.node->Signal(SIGKILL);
+  limited.node->Wait(1000);
+  mesh.StartNode(limited);
+  Sleep(5000);
+  std::vector<std::int64_t> starts;
+  std::ifstream file(mesh.Folder() + "/calls-" +
+                     std::to_string(limited.basePort));
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("start ") && std::stoll(line.substr(6)) > from) {
+      starts.push_back(std::stoll(line.substr(6)));
+    }
+  }
+  std::ranges::sort(starts);
+  std::size_t most = 0;
+  for (auto first = starts.begin(); first != starts.end(); ++first) {
+    const auto last =
+      std::lower_bound(first, starts.end(), *first + kWindowMicroseconds);
+    most = std::max(most, static_cast<std::size_t>(last - first));
+  }
+  CHECK(most <= kMaxCalls);
+  CHECK(starts.size() >= 7 * kRate);
+  CheckHistory(history, "a server names a rate and its node is restarted");
+}
+
 TEST_CASE("calls stay correct while the platform is down, silent or slow",
           "[processes]")
 {
--- a/tests/standins/BackendStandin.cpp
+++ b/tests/standins/BackendStandin.cpp
@@ -1,9 +1,11 @@
 // Stands in for a backend server: answers calls to every path after a service
 // time, announces itself to its node, and logs the start and the end of each
 // call. Faults are set by the flag --fail_share or by POST /fault with a JSON
-// object; its keys are fail_share, slow_ms, path, hang and die_unanswered.
+// object; its keys are fail_share, slow_ms, path, hang, die_unanswered,
+// rate_limit and leaving. The last two are named in the answers to all paths.
 
 #include "StopSignal.h"
+#include "knapweedpaddle/backends/BackendDialect.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
 #include "knapweedpaddle/runtime/HttpClient.h"
 
@@ -52,6 +54,8 @@
   std::string path;           ///< prefix of the paths affected; empty for all
   bool hang = false;          ///< calls start but are never answered
   bool dieUnanswered = false; ///< the process exits when a call has started
+  std::string rateLimit; ///< calls a second that the server names; empty: none
+  bool leaving = false;  ///< answers say that the server leaves
 };
 
 std::string
@@ -84,6 +88,8 @@
     mFaults.path = aJson.value("path", "");
     mFaults.hang = aJson.value("hang", false);
     mFaults.dieUnanswered = aJson.value("die_unanswered", false);
+    mFaults.rateLimit = aJson.value("rate_limit", "");
+    mFaults.leaving = aJson.value("leaving", false);
   }
 
   /** Runs a call with the faults set for its path. */
@@ -111,6 +117,7 @@
                              "\n";
     const auto answer = [this, writer, body, fails, callId, key, resource] {
       LogEvent("end", callId, key, resource);
+      AddSignals(*writer);
       writer->send(fails ? Code::Internal_Server_Error : Code::Ok, body);
     };
     const int delay = mServiceMs + faults.slowMs;
@@ -131,6 +138,23 @@
     return aPath.starts_with(mFaults.path) ? mFaults : Faults{};
   }
 
+  /** Adds the headers by which the server tells its state. */
+  void AddSignals(ResponseWriter& aWriter)
+  {
+    const std::scoped_lock lock(mMutex);
+    const auto add = [&aWriter](const std::string& aName,
+                                const std::string& aValue) {
+      aWriter.headers().addRaw(Pistache::Http::Header::Raw(aName, aValue));
+    };
+    const backends::BackendDialect dialect;
+    if (!mFaults.rateLimit.empty()) {
+      add(dialect.rateLimit, mFaults.rateLimit);
+    }
+    if (mFaults.leaving) {
+      add(dialect.leaving, "1");
+    }
+  }
+
   /** Draws a random number from 0 to 1. */
   double DrawShare()
   {
