Tell refused callers when a server is expected to have room

Callers of a refused call were told to come back after 200 ms, whatever the servers that refused it expected. Cause: a constant in the forwarder. Change: RetryAdvice takes the load that each refusing owner reports anyway, queue and rate limit, and advises the shortest wait, from 50 ms to 1 s; without a load 200 ms as before.

--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "knapweedpaddle/callers/CallerTimeoutEstimator.h"
 #include "knapweedpaddle/callers/HeldCalls.h"
+#include "knapweedpaddle/callers/RetryAdvice.h"
 #include "knapweedpaddle/nodes/CallCodec.h"
 #include "knapweedpaddle/routing/LoadBalancer.h"
 #include "knapweedpaddle/routing/LowDiscrepancySequence.h"
@@ -28,8 +29,6 @@
 namespace {
 
 constexpr Milliseconds kMinTimeout{ 1 };
-/** Delay after which a refused caller may try again. */
-constexpr Milliseconds kRetryAfter{ 200 };
 /** A call that can't be forwarded yet is held for this long at most. */
 constexpr Milliseconds kMaxHold{ 1000 };
 /** A call is held for a third of its timeout at most, so that its caller has
@@ -101,6 +100,7 @@
     /** Tries that did not reach a backend server. */
     std::uint32_t triesNotArrived = 0;
     bool mayHaveRun = false; ///< a failed try may have been executed
+    RetryAdvice retryAdvice; ///< from the servers that refused the call
     bool finished = false;
     /** Result to return if no other try succeeds. */
     std::optional<CallResult> failure;
@@ -384,9 +384,10 @@
     if (next.isLocal) {
       next.request = mServices.dispatcher.Run(
         std::move(forwarded), [this, aCall, id](CallResult aResult) {
-          const std::string& route = aCall->route.header.name;
-          mBalancer.ReportLoad(
-            mIdentity.node, route, mServices.dispatcher.Load(route), Now());
+          NoteLoad(*aCall,
+                   mIdentity.node,
+                   aResult,
+                   mServices.dispatcher.Load(aCall->route.header.name));
           OnResult(aCall, id, std::move(aResult));
         });
     } else {
@@ -452,13 +453,24 @@
     }
     for (const auto& it : aCall->active) {
       if (it.id == aTry) {
-        mBalancer.ReportLoad(
-          it.node, aCall->route.header.name, decoded->load, Now());
+        NoteLoad(*aCall, it.node, decoded->result, decoded->load);
       }
     }
     OnResult(aCall, aTry, std::move(decoded->result));
   }
 
+  /** Takes the load that a server reported with the result of a try. */
+  void NoteLoad(Call& aCall,
+                nodes::NodeId aNode,
+                const CallResult& aResult,
+                const backends::ServerLoad& aLoad)
+  {
+    mBalancer.ReportLoad(aNode, aCall.route.header.name, aLoad, Now());
+    if (aResult.outcome == CallOutcome::kNotRun) {
+      aCall.retryAdvice.AddRefusal(aLoad);
+    }
+  }
+
   void OnResult(const CallPtr& aCall,
                 const std::string& aTry,
                 CallResult aResult)
@@ -625,7 +637,7 @@
     result.outcome = mayRun ? CallOutcome::kUnknown : CallOutcome::kNotRun;
     result.reason = aReason;
     result.callId = aCall->id;
-    result.retryAfter = kRetryAfter;
+    result.retryAfter = aCall->retryAdvice.RetryAfter();
     const std::string outcome(NameOf(kCallOutcomeNames, result.outcome));
     aCall->steps.push_back(outcome + ": " + aReason);
     mServices.journal.Add({ aCall->id,
