--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -78,6 +78,7 @@
             aRollout.order.service + " to " + aRollout.order.toVersion +
               ", stage " +
               std::string(NameOf(moves::kRolloutStageNames, aRollout.stage)) +
+              ", order " + std::to_string(aRollout.order.revision) +
               (aRollout.reason.empty() ? "" : ": " + aRollout.reason));
         } })
   , mBackendServer(aSettings.backendAddress)
