--- a/tests/fakes/FakeFleet.cpp
+++ b/tests/fakes/FakeFleet.cpp
@@ -275,6 +275,32 @@
   shared.table.Commit(transaction);
 }
 
+void
+FakeFleet::WriteOtherRows(int aCount)
+{
+  for (int n = 0; n < aCount; ++n) {
+    store::Transaction transaction;
+    transaction.writes.push_back({ "other/row", std::to_string(n), false });
+    shared.table.Commit(transaction);
+  }
+}
+
+void
+FakeFleet::RestoreStore(const standins::InMemoryStore& aCopy,
+                        const std::function<void()>& aRewrite)
+{
+  const auto setFault = [this](PlatformFault aFault) {
+    for (auto& it : nodes) {
+      it.storeFault = aFault;
+    }
+  };
+  setFault(PlatformFault::kDown);
+  shared.table.RestoreFrom(aCopy);
+  aRewrite();
+  clock.RunFor(Milliseconds(1000));
+  setFault(PlatformFault::kNone);
+}
+
 std::string
 FakeFleet::RolloutState() const
 {
--- a/tests/fakes/FakeFleet.h
+++ b/tests/fakes/FakeFleet.h
@@ -54,6 +54,14 @@
   /** Writes the order for a rollout of service "svc" into the store. */
   void OrderRollout(const std::string& aToVersion, Milliseconds aDuration);
 
+  /** Writes rows that do not concern the nodes, which raises the revision. */
+  void WriteOtherRows(int aCount);
+
+  /** Takes the store away from all nodes for a second and brings it back from a
+   * copy, to which operators have written aRewrite by then. */
+  void RestoreStore(const standins::InMemoryStore& aCopy,
+                    const std::function<void()>& aRewrite);
+
   /** Returns the state in the rollout's status row, or "" without a row. */
   std::string RolloutState() const;
 
--- a/tests/fakes/FakePlatform.h
+++ b/tests/fakes/FakePlatform.h
@@ -100,22 +100,40 @@
               TableCallback aCallback) override
   {
     static constexpr Milliseconds kPollInterval{ 20 };
-    if (aWait > Milliseconds(0) &&
+    if (aWait > Milliseconds(0) && aAfter <= mShared.table.Revision() &&
         mShared.table.ChangesAfter(aTable, aAfter).rows.empty()) {
       mClock.ScheduleAt(
         mClock.Now() + kPollInterval,
-        [this, disconnected = mDisconnected, aTable, aAfter, aWait, aCallback] {
-          if (!*disconnected) {
-            Follow(aTable, aAfter, aWait - kPollInterval, aCallback);
+        [this,
+         disconnected = mDisconnected,
+         history = mShared.table.History(),
+         aTable,
+         aAfter,
+         aWait,
+         aCallback] {
+          if (*disconnected) {
+            return;
+          }
+          if (history != mShared.table.History()) {
+            store::StoreReason reason;
+            reason.Set(store::StoreError::kOutcomeUnknown, "store restored");
+            aCallback(std::nullopt, reason);
+            return;
           }
+          Follow(aTable, aAfter, aWait - kPollInterval, aCallback);
         });
       return;
     }
     Request<store::TableRows>(
       false,
-      [this, aTable, aAfter](store::StoreReason&) {
+      [this, aTable, aAfter](
+        store::StoreReason& aReason) -> std::optional<store::TableRows> {
         ++mShared.reads;
-        return std::optional(mShared.table.ChangesAfter(aTable, aAfter));
+        if (aAfter > mShared.table.Revision()) {
+          aReason.Set(store::StoreError::kHistoryGone, "unknown revision");
+          return std::nullopt;
+        }
+        return mShared.table.ChangesAfter(aTable, aAfter);
       },
       std::move(aCallback));
   }
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -291,3 +291,117 @@
     }
   }
 }
+
+TEST_CASE("a change is in force in time although the restored store gave its "
+          "revision out before",
+          "[fleet]")
+{
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    for (const int rowsAfter : { 0, 40 }) {
+      INFO("seed " << seed << ", " << rowsAfter << " rows after the change");
+      const auto fleet = SettledFleet(seed);
+      const standins::InMemoryStore copy = fleet->shared.table;
+      fleet->WriteConfig(6);
+      fleet->WriteOtherRows(20);
+      fleet->clock.RunFor(kMaxApplyTime);
+      REQUIRE(fleet->AllServe(6));
+      fleet->RestoreStore(copy, [&] {
+        fleet->WriteConfig(6);
+        fleet->WriteConfig(7);
+        fleet->WriteOtherRows(rowsAfter);
+      });
+      fleet->clock.RunFor(kMaxApplyTime);
+      CHECK(fleet->AllServe(7));
+      CHECK_FALSE(fleet->configRegressed);
+    }
+  }
+}
+
+TEST_CASE("a rollout is neither begun anew nor forgotten when the store is "
+          "restored",
+          "[fleet]")
+{
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    // Seconds after the order; the last one is after the rollout's end.
+    for (const int restoredAfter : { 3, 9, 15 }) {
+      for (const int rowsBefore : { 0, 30 }) {
+        INFO("seed " << seed << ", restored after " << restoredAfter
+                     << " s, with " << rowsBefore << " rows before the order");
+        const auto fleet = SettledFleet(seed);
+        for (int n = 0; n < 6; ++n) {
+          fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
+        }
+        fleet->clock.RunFor(Milliseconds(2000));
+        const standins::InMemoryStore copy = fleet->shared.table;
+        fleet->WriteOtherRows(10);
+        fleet->OrderRollout("v2", kRolloutDuration);
+        fleet->clock.RunFor(Milliseconds(restoredAfter * 1000));
+        const bool completed = fleet->RolloutState() == "completed";
+        CHECK(completed == (restoredAfter == 15));
+        fleet->RestoreStore(copy, [&] {
+          fleet->WriteOtherRows(rowsBefore);
+          fleet->OrderRollout("v2", kRolloutDuration);
+        });
+        if (completed) {
+          const std::uint64_t before = fleet->callsToNewVersion;
+          const std::uint64_t totalBefore = fleet->totalCalls;
+          fleet->clock.RunFor(Milliseconds(4000));
+          CHECK(fleet->RolloutState() == "completed");
+          CHECK(fleet->callsToNewVersion - before ==
+                fleet->totalCalls - totalBefore);
+        } else {
+          fleet->clock.RunFor(kRolloutDuration -
+                              Milliseconds(restoredAfter * 1000 + 1000));
+          CHECK(fleet->RolloutState() == "completed");
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("a rollout ordered after the store was restored is carried out",
+          "[fleet]")
+{
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    INFO("seed " << seed);
+    const auto fleet = SettledFleet(seed);
+    for (int n = 0; n < 6; ++n) {
+      fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
+    }
+    fleet->clock.RunFor(Milliseconds(2000));
+    const standins::InMemoryStore copy = fleet->shared.table;
+    fleet->WriteOtherRows(30);
+    fleet->OrderRollout("v0", kRolloutDuration);
+    fleet->clock.RunFor(Milliseconds(1000));
+    fleet->RestoreStore(copy, [] {});
+    fleet->OrderRollout("v2", kRolloutDuration);
+    fleet->clock.RunFor(kRolloutDuration);
+    CHECK(fleet->RolloutState() == "completed");
+  }
+}
+
+TEST_CASE("a node that starts after the restored store lost the member rows "
+          "finds its peers",
+          "[fleet]")
+{
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    INFO("seed " << seed);
+    FakeFleet fleet(seed);
+    for (int n = 0; n < 12; ++n) {
+      fleet.Add("zone" + std::to_string(n % 3), "svc");
+    }
+    fleet.WriteConfig(5);
+    const standins::InMemoryStore copy = fleet.shared.table;
+    fleet.StartAll();
+    fleet.clock.RunFor(kSettleTime);
+    REQUIRE(fleet.AllServe(5));
+    fleet.RestoreStore(copy, [] {});
+    fleet.clock.RunFor(Milliseconds(2000));
+    fleet.Start(fleet.Add("zone0", "svc"));
+    fleet.clock.RunFor(Milliseconds(4000));
+    for (const auto& it : fleet.nodes) {
+      REQUIRE(it.view);
+      CHECK(it.view->targets.at("svc").size() == fleet.nodes.size());
+    }
+  }
+}
--- a/tests/standins/InMemoryStore.cpp
+++ b/tests/standins/InMemoryStore.cpp
@@ -82,6 +82,14 @@
   return {};
 }
 
+void
+InMemoryStore::RestoreFrom(const InMemoryStore& aCopy)
+{
+  const std::uint64_t history = mHistory + 1;
+  *this = aCopy;
+  mHistory = history;
+}
+
 const std::string*
 InMemoryStore::GetObject(const std::string& aName) const
 {
--- a/tests/standins/InMemoryStore.h
+++ b/tests/standins/InMemoryStore.h
@@ -43,6 +43,13 @@
    */
   std::vector<std::string> Commit(const store::Transaction& aTransaction);
 
+  /** Replaces the content by an older copy, after which revisions are given out
+   * again, and starts a new history. */
+  void RestoreFrom(const InMemoryStore& aCopy);
+
+  /** Returns how often the store was restored. */
+  std::uint64_t History() const { return mHistory; }
+
   void PutObject(const std::string& aName, const std::string& aBody)
   {
     mObjects[aName] = aBody;
@@ -55,6 +62,7 @@
   std::map<std::string, std::uint64_t> mRemovedRevisions;
   std::map<std::string, std::string> mObjects;
   std::uint64_t mRevision = 0;
+  std::uint64_t mHistory = 0;
 };
 
 } // namespace knapweedpaddle::standins
