Tell revisions apart that a restored store gives out again

Callers could be served by an older configuration: a change confirmed after the store came back from a copy was missed by all readers until the next one, and a rollout ordered then was ignored as older. Cause: versions of the store were taken for a single rising sequence; the class is trust in an order that the giver may break. A reader whose last query failed asks for an immediate answer first, since the store could hold a query from a version that it gave out again for 5 s.

--- a/include/knapweedpaddle/store/StoreClient.h
+++ b/include/knapweedpaddle/store/StoreClient.h
@@ -39,7 +39,8 @@
   std::vector<std::string> conflictingKeys;
 };
 
-/** A row of a table; revision 0 means that the row does not exist. */
+/** A row of a table; revision 0 means that the row does not exist. Revisions
+ * are described in Revision.h. */
 struct Row
 {
   std::string key; ///< "table/name"
@@ -110,7 +111,8 @@
   virtual void ReadTable(std::string aTable, TableCallback aCallback) = 0;
 
   /**
-   * Reads the rows of a table that changed after a revision. If there are none
+   * Reads the rows of a table that changed after a revision; fails with
+   * kHistoryGone if the store was restored since. If there are none
    * yet, waits up to aWait for one and returns no rows after that.
    */
   virtual void Follow(std::string aTable,
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -116,9 +116,13 @@
 ConfigFollower::WaitForStoreChanges()
 {
   mIsQuerying = true;
+  // A store that was restored since the last answer could hold a query from a
+  // revision that it gave out again for the whole wait. An immediate answer
+  // tells whether it was.
+  const Milliseconds wait = mIsAnsweredLast ? kMaxStoreWait : Milliseconds(0);
   mServices.orders.Follow(
     *mRevision,
-    kMaxStoreWait,
+    wait,
     [this, generation = mQueryGeneration](
       const std::optional<OrderUpdate>& aChanges, const StoreReason& aReason) {
       if (generation == mQueryGeneration) {
@@ -131,6 +135,7 @@
 ConfigFollower::OnStoreAnswer(const std::optional<OrderUpdate>& aChanges,
                               const StoreReason& aReason)
 {
+  mIsAnsweredLast = aChanges.has_value();
   if (aChanges) {
     OnStoreChanges(*aChanges);
   } else if (aReason.code == StoreError::kHistoryGone) {
@@ -168,6 +173,8 @@
   mIsQuerying = ShouldQueryStore();
   if (mIsQuerying) {
     QueryStore();
+  } else {
+    mIsAnsweredLast = false;
   }
 }
 
--- a/tests/fakes/FakePlatform.h
+++ b/tests/fakes/FakePlatform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "FakeClock.h"
+#include "knapweedpaddle/store/Revision.h"
 #include "knapweedpaddle/store/StoreClient.h"
 #include "standins/InMemoryStore.h"
 
@@ -64,7 +65,7 @@
       false,
       [this, keys = std::move(aKeys)](store::StoreReason&) {
         ++mShared.reads;
-        return std::optional(mShared.table.Read(keys));
+        return std::optional(WithHistory(mShared.table.Read(keys)));
       },
       std::move(aCallback));
   }
@@ -78,7 +79,8 @@
       false,
       [this, aPrefix, aFirst, aLimit](store::StoreReason&) {
         ++mShared.reads;
-        return std::optional(mShared.table.ReadRange(aPrefix, aFirst, aLimit));
+        return std::optional(
+          WithHistory(mShared.table.ReadRange(aPrefix, aFirst, aLimit)));
       },
       std::move(aCallback));
   }
@@ -89,7 +91,7 @@
       false,
       [this, aTable](store::StoreReason&) {
         ++mShared.reads;
-        return std::optional(mShared.table.ReadTable(aTable));
+        return std::optional(WithHistory(mShared.table.ReadTable(aTable)));
       },
       std::move(aCallback));
   }
@@ -100,8 +102,9 @@
               TableCallback aCallback) override
   {
     static constexpr Milliseconds kPollInterval{ 20 };
-    if (aWait > Milliseconds(0) && aAfter <= mShared.table.Revision() &&
-        mShared.table.ChangesAfter(aTable, aAfter).rows.empty()) {
+    const std::uint64_t after = store::VersionInHistory(aAfter);
+    if (aWait > Milliseconds(0) && after <= mShared.table.Revision() &&
+        mShared.table.ChangesAfter(aTable, after).rows.empty()) {
       mClock.ScheduleAt(
         mClock.Now() + kPollInterval,
         [this,
@@ -126,14 +129,15 @@
     }
     Request<store::TableRows>(
       false,
-      [this, aTable, aAfter](
+      [this, aTable, aAfter, after](
         store::StoreReason& aReason) -> std::optional<store::TableRows> {
         ++mShared.reads;
-        if (aAfter > mShared.table.Revision()) {
+        if (after > mShared.table.Revision() ||
+            store::HistoryOf(aAfter) != mShared.table.History()) {
           aReason.Set(store::StoreError::kHistoryGone, "unknown revision");
           return std::nullopt;
         }
-        return mShared.table.ChangesAfter(aTable, aAfter);
+        return WithHistory(mShared.table.ChangesAfter(aTable, after));
       },
       std::move(aCallback));
   }
@@ -145,7 +149,10 @@
       [this,
        transaction = std::move(aTransaction)](store::StoreReason& aReason) {
         ++mShared.writes;
-        aReason.conflictingKeys = mShared.table.Commit(transaction);
+        aReason.conflictingKeys = KeysOfEarlierHistories(transaction);
+        if (aReason.conflictingKeys.empty()) {
+          aReason.conflictingKeys = mShared.table.Commit(Stripped(transaction));
+        }
         if (aReason.conflictingKeys.empty()) {
           return std::optional(true);
         }
@@ -192,6 +199,45 @@
   static constexpr Milliseconds kRequestTimeout{ 1000 };
   static constexpr Milliseconds kLateWriteDelay{ 700 };
 
+  /** Adds the store's history to the revisions of rows. */
+  std::vector<store::Row> WithHistory(std::vector<store::Row> aRows) const
+  {
+    for (auto& it : aRows) {
+      if (it.revision != 0) {
+        it.revision = store::MakeRevision(mShared.table.History(), it.revision);
+      }
+    }
+    return aRows;
+  }
+
+  store::TableRows WithHistory(store::TableRows aTable) const
+  {
+    return { WithHistory(std::move(aTable.rows)),
+             store::MakeRevision(mShared.table.History(), aTable.revision) };
+  }
+
+  std::vector<std::string> KeysOfEarlierHistories(
+    const store::Transaction& aTransaction) const
+  {
+    std::vector<std::string> keys;
+    for (const auto& it : aTransaction.conditions) {
+      if (it.revision != 0 &&
+          store::HistoryOf(it.revision) != mShared.table.History()) {
+        keys.push_back(it.key);
+      }
+    }
+    return keys;
+  }
+
+  /** Returns the transaction with versions in place of revisions. */
+  static store::Transaction Stripped(store::Transaction aTransaction)
+  {
+    for (auto& it : aTransaction.conditions) {
+      it.revision = store::VersionInHistory(it.revision);
+    }
+    return aTransaction;
+  }
+
   Milliseconds Latency()
   {
     return Milliseconds(1 + static_cast<std::int64_t>(mRandom() % 8));
