Let rollouts go on when the store is restored

Operators saw a rollout late, or its end undone: it went back to the canary stage, or its status stayed active. Cause: an order was known by its revision alone, so the same order, written or merely read again after the restore, was taken for a new one, and a status row was written once and never looked at again. The class: identity taken from a number that the store gives. Change: orders of different histories that name the same version are one order; the rollout keeps its stage and its evidence and takes the new revision, and judges then check the status row and write it again if it was lost. A version that is ordered anew before a node has read the restored store at all is taken for the old order by that node.

--- a/include/knapweedpaddle/moves/RolloutTracker.h
+++ b/include/knapweedpaddle/moves/RolloutTracker.h
@@ -37,12 +37,19 @@
   std::string reason;    ///< why the rollout was condemned
   Timestamp orderSeenAt; ///< when this node first learned of the order
   Timestamp stageSeenAt; ///< when this node first learned of the stage
+  /** Revision under which this node first learned of the order; order.revision
+   * differs after the store was restored. */
+  std::uint64_t firstRevision = 0;
+  /** The store was restored, and may have lost the status row. */
+  bool isStatusInDoubt = false;
 };
 
 /**
  * Keeps the newest rollout of each service. A rollout's stage never goes back,
  * so that the result does not depend on the order of messages. An order
- * replaces one with a lower revision.
+ * replaces one with a lower revision, but when the store was restored in
+ * between and both name the same version, they are one order, whose rollout
+ * goes on.
  *
  * Thread safety: control thread only.
  */
@@ -52,6 +59,9 @@
   /** Adds an order. Returns true if it is new. */
   bool AddOrder(const operators::RolloutOrder& aOrder, Timestamp aNow);
 
+  /** Records that a service's status row was read or written. */
+  void ConfirmStatus(const std::string& aService);
+
   /** Merges progress that a peer reported. Returns true if anything changed. */
   bool Merge(const nodes::MoveProgress& aProgress, Timestamp aNow);
 
--- a/include/knapweedpaddle/node/RolloutAgent.h
+++ b/include/knapweedpaddle/node/RolloutAgent.h
@@ -98,10 +98,10 @@
   moves::RolloutTracker mRollouts;
   /** Evaluators of the newest orders, keyed by service. */
   std::map<std::string, moves::RolloutEvaluator> mEvaluators;
-  /** Revision of the order that a service's entry of mEvaluators is for. */
+  /** Rollout::firstRevision of the order that a service's entry of mEvaluators
+   * is for. */
   std::map<std::string, std::uint64_t> mEvaluatedOrders;
-  std::map<std::string, Timestamp> mNewVersionServersAt; ///< unused
-  std::map<std::string, StatusUpdate> mStatusUpdates;    ///< keyed by service
+  std::map<std::string, StatusUpdate> mStatusUpdates; ///< keyed by service
   Timestamp mNextProgressSendAt{}; ///< when a judge repeats its progress
 };
 
--- a/src/moves/RolloutTracker.cpp
+++ b/src/moves/RolloutTracker.cpp
@@ -1,6 +1,7 @@
 #include "knapweedpaddle/moves/RolloutTracker.h"
 
 #include "knapweedpaddle/routing/VersionSelector.h"
+#include "knapweedpaddle/store/Revision.h"
 
 #include <algorithm>
 
@@ -21,27 +22,56 @@
   return kShares[std::min(n, kShares.size() - 1)];
 }
 
+/** Returns true if a later order is an earlier one that was written again, or
+ * merely read again, after the store was restored. */
+bool
+IsRewritten(const operators::RolloutOrder& aEarlier,
+            const operators::RolloutOrder& aLater)
+{
+  return store::HistoryOf(aEarlier.revision) !=
+           store::HistoryOf(aLater.revision) &&
+         aEarlier.toVersion == aLater.toVersion;
+}
+
 } // namespace
 
 bool
 RolloutTracker::AddOrder(const operators::RolloutOrder& aOrder, Timestamp aNow)
 {
   const auto it = mRollouts.find(aOrder.service);
-  if (it != mRollouts.end() && it->second.order.revision >= aOrder.revision) {
-    if (it->second.order.revision == aOrder.revision) {
-      // The known order may come from a peer's progress, without duration.
-      it->second.order = aOrder;
+  if (it != mRollouts.end()) {
+    Rollout& known = it->second;
+    if (known.order.revision > aOrder.revision) {
+      return false;
+    }
+    const bool isRewritten = IsRewritten(known.order, aOrder);
+    if (isRewritten || known.order.revision == aOrder.revision) {
+      known.isStatusInDoubt |= isRewritten;
+      // An order from a peer's progress has no duration.
+      const Milliseconds duration =
+        std::max(known.order.duration, aOrder.duration);
+      known.order = aOrder;
+      known.order.duration = duration;
+      return false;
     }
-    return false;
   }
   Rollout rollout;
   rollout.order = aOrder;
+  rollout.firstRevision = aOrder.revision;
   rollout.orderSeenAt = aNow;
   rollout.stageSeenAt = aNow;
   mRollouts.insert_or_assign(aOrder.service, std::move(rollout));
   return true;
 }
 
+void
+RolloutTracker::ConfirmStatus(const std::string& aService)
+{
+  if (const auto it = mRollouts.find(aService); it != mRollouts.end()) {
+    it->second.isStatusInDoubt = false;
+  }
+}
+
 bool
 RolloutTracker::Merge(const nodes::MoveProgress& aProgress, Timestamp aNow)
 {
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -2,6 +2,7 @@
 
 #include "MemberTargets.h"
 #include "knapweedpaddle/nodes/DutyAssignment.h"
+#include "knapweedpaddle/store/Revision.h"
 
 namespace knapweedpaddle::node {
 
@@ -23,6 +24,13 @@
 /** Share of FleetSettings::retryBudgetSlack that all nodes together may use. */
 constexpr double kGrantedRetrySlackShare = 0.7;
 
+std::string
+RevisionText(std::uint64_t aRevision)
+{
+  return std::to_string(store::VersionInHistory(aRevision)) + " of history " +
+         std::to_string(store::HistoryOf(aRevision));
+}
+
 } // namespace
 
 FleetCore::FleetCore(Services aServices,
@@ -78,7 +86,7 @@
             aRollout.order.service + " to " + aRollout.order.toVersion +
               ", stage " +
               std::string(NameOf(moves::kRolloutStageNames, aRollout.stage)) +
-              ", order " + std::to_string(aRollout.order.revision) +
+              ", order " + RevisionText(aRollout.order.revision) +
               (aRollout.reason.empty() ? "" : ": " + aRollout.reason));
         } })
   , mBackendServer(aSettings.backendAddress)
--- a/src/node/RolloutAgent.cpp
+++ b/src/node/RolloutAgent.cpp
@@ -141,8 +141,8 @@
     if (aReport.routes.front().move != ProgressName(rollout.order)) {
       continue;
     }
-    if (mEvaluatedOrders[service] != rollout.order.revision) {
-      mEvaluatedOrders[service] = rollout.order.revision;
+    if (mEvaluatedOrders[service] != rollout.firstRevision) {
+      mEvaluatedOrders[service] = rollout.firstRevision;
       mEvaluators.insert_or_assign(service, moves::RolloutEvaluator());
     }
     mEvaluators.at(service).Report(aReport, mServices.scheduler.Now());
@@ -180,7 +180,8 @@
   bool hasOpenRollout = false;
   for (const auto& service : services) {
     const Rollout& rollout = mRollouts.All().at(service);
-    if (rollout.stage == RolloutStage::kRecorded) {
+    if (rollout.stage == RolloutStage::kRecorded &&
+        !(rollout.isStatusInDoubt && isJudge)) {
       continue;
     }
     hasOpenRollout = true;
@@ -302,7 +303,7 @@
     update = {};
     update.orderRevision = aRollout.order.revision;
   }
-  const bool decided = aRollout.stage == RolloutStage::kDecided;
+  const bool decided = aRollout.stage >= RolloutStage::kDecided;
   if ((!decided && !aIsJudge) || update.isPending || now < update.nextTryAt ||
       now - aRollout.stageSeenAt < StatusUpdateDelay() ||
       (!decided && update.writtenState.has_value())) {
@@ -368,6 +369,7 @@
     return;
   }
   update.writtenState = aState;
+  mRollouts.ConfirmStatus(aService);
   if (aState != RolloutState::kActive) {
     const bool condemned = aState == RolloutState::kRolledBack;
     Advance(aService,
