Let a sign-off without a start time bar delayed ready reports

Timeline: the node restarts at 23.24 s; at 23.50 its server signs off, with its id only; at 25.59 a ready report of 22.35 arrives, delayed, and registers the server again. Cause: the restarted node knew no start time and recorded 0, so the late report looked like a later start. Change: such a sign-off covers all starts before its arrival, and reports that change what the node believes are logged (event=report_accepted).

--- a/include/knapweedpaddle/backends/BackendServerTracker.h
+++ b/include/knapweedpaddle/backends/BackendServerTracker.h
@@ -35,8 +35,14 @@
    * address are rejected. */
   explicit BackendServerTracker(std::string aAddress);
 
-  /** Applies a report; only an accepted report changes the state. */
-  ReportOutcome Apply(const ServerReport& aReport, Timestamp aNow);
+  /** Applies a report; only an accepted report changes the state.
+   *
+   * @param aWallNow  a sign-off that does not tell the server's start covers
+   * all starts before this time.
+   */
+  ReportOutcome Apply(const ServerReport& aReport,
+                      Timestamp aNow,
+                      WallMilliseconds aWallNow);
 
   /**
    * Drops the server when its last report is older than aMaxReportAge.
@@ -60,12 +66,10 @@
   const ServerReport* Latest() const { return mLatest ? &*mLatest : nullptr; }
 
 private:
-  ReportOutcome ApplySignOff(const ServerReport& aReport);
+  ReportOutcome ApplySignOff(const ServerReport& aReport,
+                             WallMilliseconds aWallNow);
   /** Returns true if a newer report or server start is known. */
   bool IsOutdated(const ServerReport& aReport) const;
-  /** Records that a server is draining or gone. */
-  void RecordDeparture(const ServerReport& aReport);
-
   std::string mAddress;
   std::optional<ServerReport> mLatest;
   Timestamp mLastReportAt{};
--- a/src/backends/BackendServerTracker.cpp
+++ b/src/backends/BackendServerTracker.cpp
@@ -8,10 +8,12 @@
 }
 
 ReportOutcome
-BackendServerTracker::Apply(const ServerReport& aReport, Timestamp aNow)
+BackendServerTracker::Apply(const ServerReport& aReport,
+                            Timestamp aNow,
+                            WallMilliseconds aWallNow)
 {
   if (aReport.state == ReportedState::kGone) {
-    return ApplySignOff(aReport);
+    return ApplySignOff(aReport, aWallNow);
   }
   if (aReport.address != mAddress || aReport.id.empty() || aReport.slots == 0 ||
       aReport.startedAtMs == 0) {
@@ -21,7 +23,7 @@
     return ReportOutcome::kOutdated;
   }
   if (aReport.state == ReportedState::kDraining) {
-    RecordDeparture(aReport);
+    mDepartedServers.Record(aReport.id, aReport.startedAtMs);
   }
   mLatest = aReport;
   mLastReportAt = aNow;
@@ -29,7 +31,8 @@
 }
 
 ReportOutcome
-BackendServerTracker::ApplySignOff(const ServerReport& aReport)
+BackendServerTracker::ApplySignOff(const ServerReport& aReport,
+                                   WallMilliseconds aWallNow)
 {
   const bool isLatest = mLatest && mLatest->id == aReport.id;
   // A sign-off may contain only the id, without the start time.
@@ -37,7 +40,12 @@
       aReport.startedAtMs < mLatest->startedAtMs) {
     return ReportOutcome::kOutdated;
   }
-  RecordDeparture(aReport);
+  std::uint64_t startedAt = aReport.startedAtMs;
+  if (startedAt == 0) {
+    startedAt =
+      isLatest ? mLatest->startedAtMs : static_cast<std::uint64_t>(aWallNow);
+  }
+  mDepartedServers.Record(aReport.id, startedAt);
   if (isLatest) {
     mLatest->state = ReportedState::kGone;
   }
@@ -90,14 +98,4 @@
   return aReport.id == mLatest->id && aReport.sequence <= mLatest->sequence;
 }
 
-void
-BackendServerTracker::RecordDeparture(const ServerReport& aReport)
-{
-  std::uint64_t startedAt = aReport.startedAtMs;
-  if (startedAt == 0 && mLatest && mLatest->id == aReport.id) {
-    startedAt = mLatest->startedAtMs;
-  }
-  mDepartedServers.Record(aReport.id, startedAt);
-}
-
 } // namespace knapweedpaddle::backends
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -6,6 +6,7 @@
 
 namespace knapweedpaddle::node {
 
+using backends::ReportedState;
 using backends::ReportOutcome;
 using backends::ServerReport;
 using nodes::MemberRecord;
@@ -183,8 +184,11 @@
 FleetCore::OnServerReport(const ServerReport& aReport,
                           std::function<void()> aDone)
 {
-  const ReportOutcome outcome =
-    mBackendServer.Apply(aReport, mServices.scheduler.Now());
+  const ServerReport* before = mBackendServer.Latest();
+  const bool isNews = aReport.state != ReportedState::kReady || !before ||
+                      before->startedAtMs != aReport.startedAtMs;
+  const ReportOutcome outcome = mBackendServer.Apply(
+    aReport, mServices.scheduler.Now(), mServices.scheduler.WallTime());
   if (outcome != ReportOutcome::kAccepted) {
     mServices.logEvent(
       "report_ignored",
@@ -193,6 +197,14 @@
     aDone();
     return;
   }
+  if (isNews) {
+    mServices.logEvent(
+      "report_accepted",
+      aReport.id + " " +
+        std::string(NameOf(backends::kReportedStateNames, aReport.state)) +
+        ", report " + std::to_string(aReport.sequence) + ", started at " +
+        std::to_string(aReport.startedAtMs));
+  }
   std::optional<backends::BackendServer> backend;
   if (const ServerReport* ready = mBackendServer.Ready()) {
     backend = backends::BackendServer{ ready->address, ready->service,
