Write member rows again when a restored store lost them

A node that starts after such a restore sees no server but its own, so its callers are refused. Cause: a node writes the row by which others find it once, at its start, and trusts that the store keeps it; nodes don't look for peers that the table doesn't name.

--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -34,6 +34,9 @@
     std::function<void(bool aFromStore)> onApplied;
     /** Called with rollout orders read from the store. */
     std::function<void(const std::vector<operators::RolloutOrder>&)> onOrders;
+    /** Called when this node finds that the store was restored from an older
+     * copy since its last answer. */
+    std::function<void()> onStoreRestored;
     /** Called when the store becomes reachable or unreachable. */
     std::function<void(bool aReachable, const std::string& aReason)>
       onStoreReachable;
--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -69,6 +69,10 @@
   /** Deletes this node's row from the member table, when the node leaves. */
   void RemoveRow();
 
+  /** Writes the rows of this zone's members again, after the store was restored
+   * from a copy that may lack them. */
+  void RewriteZoneRows();
+
   /** Returns the link address of a member, or "" if it is not known. */
   std::string LinkAddressOf(nodes::NodeId aNode) const;
 
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/node/ConfigFollower.h"
 
+#include "knapweedpaddle/store/Revision.h"
 #include "knapweedpaddle/telemetry/Log.h"
 
 namespace knapweedpaddle::node {
@@ -156,6 +157,8 @@
 {
   mBackoff.Reset();
   SetStoreReachable(true, "");
+  const bool isRestored = mRevision && store::HistoryOf(*mRevision) !=
+                                         store::HistoryOf(aChanges.revision);
   mRevision = aChanges.revision;
   mRevisionReadAt = mServices.scheduler.Now();
   if (aChanges.configText) {
@@ -164,6 +167,9 @@
   if (!aChanges.rollouts.empty()) {
     mServices.onOrders(aChanges.rollouts);
   }
+  if (isRestored) {
+    mServices.onStoreRestored();
+  }
   QueryStoreIfNeeded();
 }
 
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -67,6 +67,11 @@
               [this](const std::vector<operators::RolloutOrder>& aOrders) {
                 mRolloutAgent.OnOrders(aOrders);
               },
+              [this] {
+                if (nodes::HoldsDuty(Members(), nodes::kConfigReaderDuty, 1)) {
+                  mMemberAgent.RewriteZoneRows();
+                }
+              },
               [this](bool aReachable, const std::string& aReason) {
                 mServices.logEvent(aReachable ? "store_regained" : "store_lost",
                                    aReason);
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::size_t kRowsPerRead = 10;
 constexpr std::size_t kPeersPerRound = 3;
+/** The platform's store takes this many entries in one transaction. */
+constexpr std::size_t kMaxRowsPerWrite = 100;
+constexpr Milliseconds kRewriteRetryDelay{ 1000 };
 /** The search for peers starts after this time even if the write of this node's
  * row is still pending. */
 constexpr Milliseconds kMaxWriteWait{ 150 };
@@ -157,6 +160,39 @@
                             [](bool, const store::StoreReason&) {});
 }
 
+void
+MemberAgent::RewriteZoneRows()
+{
+  std::vector<store::Write> rows;
+  const auto add = [&](const MemberRecord& aRecord) {
+    if (aRecord.zone == mMembers.Self().zone &&
+        aRecord.state != nodes::MemberState::kLeaving) {
+      rows.push_back({ RowKeyOf(aRecord.node), LinkAddress(aRecord), false });
+    }
+  };
+  add(mMembers.Self());
+  for (const auto& [id, member] : mMembers.Members()) {
+    if (member.liveness == Liveness::kAlive) {
+      add(member.record);
+    }
+  }
+  for (std::size_t n = 0; n < rows.size(); n += kMaxRowsPerWrite) {
+    const auto last = std::min(n + kMaxRowsPerWrite, rows.size());
+    store::Transaction transaction;
+    transaction.writes.assign(rows.begin() + static_cast<std::ptrdiff_t>(n),
+                              rows.begin() + static_cast<std::ptrdiff_t>(last));
+    mServices.platform.Commit(
+      std::move(transaction),
+      [this](bool aDone, const store::StoreReason& aReason) {
+        if (!aDone) {
+          LogStoreFailure("zone_rows_unwritten", aReason.message);
+          mServices.scheduler.RunAfter(kRewriteRetryDelay,
+                                       [this] { RewriteZoneRows(); });
+        }
+      });
+  }
+}
+
 std::string
 MemberAgent::LinkAddressOf(nodes::NodeId aNode) const
 {
