Let nodes tell a restarted owner that its server is leaving

Cause: only the owner remembered, and it keeps nothing across a restart. Change: an owner's result names the start of a server that leaves, the ingress node remembers it for that owner and sends it along with later calls, and the owner refuses them and drops the server. Measured: the new BackendDispatcherTest, with the owner's check taken out: 2 calls arrive where none may, with it none.

--- a/include/knapweedpaddle/backends/BackendDispatcher.h
+++ b/include/knapweedpaddle/backends/BackendDispatcher.h
@@ -38,6 +38,9 @@
   std::string path;
   std::vector<callers::HttpHeader> headers;
   std::string body;
+  /** Start of the owner's server that the ingress node knows to be leaving, as
+   * BackendServer::StartName() returns it; empty if it knows of none. */
+  std::string leavingServer{};
 };
 
 /** The backend server that is registered at this node. */
@@ -52,6 +55,13 @@
    * unknown. */
   std::uint64_t startedAtMs = 0;
 
+  /** Returns a name of this start of the server, "id@time"; empty without an
+   * id, as a later start can't be told from this one then. */
+  std::string StartName() const
+  {
+    return id.empty() ? "" : id + "@" + std::to_string(startedAtMs);
+  }
+
   bool operator==(const BackendServer&) const = default;
 };
 
--- a/include/knapweedpaddle/callers/Call.h
+++ b/include/knapweedpaddle/callers/Call.h
@@ -57,6 +57,9 @@
   /** With kNotRun: the backend server received the call and refused it. */
   bool arrived = false;
   bool routeMissing = false; ///< with kNotRun: no route matches the call
+  /** Start of the backend server whose answer says that it leaves, as
+   * backends::BackendServer::StartName() returns it; else empty. */
+  std::string leavingServer;
   /** With kNotRun: after which time the caller may try again. */
   std::optional<Milliseconds> retryAfter;
 };
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -219,6 +219,13 @@
       Refuse(aRun, "the backend server of this node refuses connections");
       return;
     }
+    if (!call.leavingServer.empty() &&
+        call.leavingServer == mBackend->StartName()) {
+      // This process registered the server by a report that was delayed.
+      OnLeaving(BackendServer(*mBackend));
+      Refuse(aRun, "the backend server of this node is leaving");
+      return;
+    }
     const auto selector = routing::VersionSelector::Parse(call.version);
     if (mBackend->service != call.service ||
         !selector.Matches(mBackend->version)) {
@@ -407,11 +414,16 @@
     mServices.metrics.Observe("backend_seconds",
                               { { "route", pending.call.route } },
                               std::chrono::duration<double>(elapsed).count());
+    bool isLeaving = false;
     if (aResponse) {
       NoteRateLimit(*aResponse, pending.sentAt);
-      NoteLeaving(*aResponse, pending.server);
+      isLeaving = SaysLeaving(*aResponse);
     }
     CallResult result = ResultOf(pending.call, std::move(aResponse), aReason);
+    if (isLeaving) {
+      result.leavingServer = pending.server.StartName();
+      OnLeaving(pending.server);
+    }
     if (result.outcome == CallOutcome::kNotRun) {
       // The elapsed time of a call that did not run is no service time.
       pending.dispatched = false;
@@ -442,16 +454,18 @@
     }
   }
 
-  /** Stops sending calls to a server whose response says that it leaves. */
-  void NoteLeaving(const http::Response& aResponse,
-                   const BackendServer& aServer)
+  /** Returns true if a response says that its server leaves. */
+  bool SaysLeaving(const http::Response& aResponse) const
   {
     const std::string& name = mServices.dialect.leaving;
     const std::string* value =
       name.empty() ? nullptr : http::FindHeader(aResponse.headers, name);
-    if (!value || *value != kLeaving) {
-      return;
-    }
+    return value && *value == kLeaving;
+  }
+
+  /** Stops sending calls to a server that is leaving. */
+  void OnLeaving(const BackendServer& aServer)
+  {
     // Without an id, a later start of the server can't be told from this one.
     if (!aServer.id.empty()) {
       mDepartedServers.Record(aServer.id, aServer.startedAtMs);
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -14,6 +14,7 @@
 #include <array>
 #include <cmath>
 #include <cstdio>
+#include <map>
 #include <unordered_map>
 
 namespace knapweedpaddle::callers {
@@ -427,6 +428,10 @@
     forwarded.path = aCall.request.path;
     forwarded.headers = aCall.request.headers;
     forwarded.body = aCall.request.body;
+    if (const auto it = mLeavingServers.find(aTry.node);
+        it != mLeavingServers.end()) {
+      forwarded.leavingServer = it->second;
+    }
     return forwarded;
   }
 
@@ -469,6 +474,9 @@
     if (aResult.outcome == CallOutcome::kNotRun) {
       aCall.retryAdvice.AddRefusal(aLoad);
     }
+    if (!aResult.leavingServer.empty()) {
+      mLeavingServers[aNode] = aResult.leavingServer;
+    }
   }
 
   void OnResult(const CallPtr& aCall,
@@ -758,6 +766,9 @@
   std::unordered_map<std::string, RateLimit> mLimits;
   /** Sequences that spread calls over services and versions, keyed by name. */
   std::unordered_map<std::string, routing::LowDiscrepancySequence> mSequences;
+  /** The last server of each owner whose answer said that it leaves. An owner
+   * that was restarted since may not know it. */
+  std::map<nodes::NodeId, std::string> mLeavingServers;
   HeldCalls mHeldCalls;
   CallerTimeoutEstimator mCallerTimeouts;
   telemetry::LogRateLimiter mLogLimiter{ kLogLinesPerSecond, kLogBurst };
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -155,6 +155,7 @@
            aCall.priority > 0 ? std::to_string(aCall.priority) : "");
   addIfSet("config",
            aCall.configVersion > 0 ? std::to_string(aCall.configVersion) : "");
+  addIfSet("leaving", aCall.leavingServer);
   AppendForwardedHeaders(request.headers, aCall.headers);
   request.body = aCall.body;
   return request;
@@ -196,6 +197,7 @@
   call.route = header("route");
   call.callClass = *callClass;
   call.idempotencyKey = header("key");
+  call.leavingServer = header("leaving");
   call.deadline = aNow + Microseconds(static_cast<std::int64_t>(*remaining));
   call.slowAfter = Milliseconds(static_cast<std::int64_t>(*slowAfter));
   call.targetDeadline = aNow + Milliseconds(*targetDelay);
@@ -230,6 +232,9 @@
   if (!aResult.reasonPhrase.empty()) {
     response.headers.push_back({ "phrase", aResult.reasonPhrase });
   }
+  if (!aResult.leavingServer.empty()) {
+    response.headers.push_back({ "leaving", aResult.leavingServer });
+  }
   if (aResult.arrived) {
     response.headers.push_back({ "arrived", "1" });
   }
@@ -263,6 +268,7 @@
   decoded.result.reason = header("reason");
   decoded.result.reasonPhrase = header("phrase");
   decoded.result.arrived = !header("arrived").empty();
+  decoded.result.leavingServer = header("leaving");
   decoded.result.callId = aCallId;
   decoded.result.headers = ExtractForwardedHeaders(aResponse.headers);
   decoded.result.body = std::move(aResponse.body);
--- a/tests/backends/BackendDispatcherTest.cpp
+++ b/tests/backends/BackendDispatcherTest.cpp
@@ -42,9 +42,10 @@
     dispatcher.SetBackend(backend);
   }
 
-  void Run()
+  void Run(const std::string& aLeavingServer = "")
   {
     ForwardedCall call;
+    call.leavingServer = aLeavingServer;
     call.callId = "call";
     call.service = "svc";
     call.version = "v2";
@@ -53,8 +54,10 @@
     call.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     call.method = "GET";
     call.path = "/";
-    dispatcher.Run(std::move(call),
-                   [this](const callers::CallResult&) { ++answered; });
+    dispatcher.Run(std::move(call), [this](const callers::CallResult& aResult) {
+      ++answered;
+      leavingServer = aResult.leavingServer;
+    });
   }
 
   /** Runs a call every few milliseconds for some time. */
@@ -91,6 +94,7 @@
   BackendDispatcher dispatcher;
   BackendServer backend;
   int answered = 0;
+  std::string leavingServer; ///< of the last result
 };
 
 } // namespace
@@ -187,3 +191,32 @@
   it.RunLoopFor(Milliseconds(50));
   CHECK(it.arrivals.size() == 2);
 }
+
+TEST_CASE("a restarted node sends no call to a server that another node knows "
+          "to be leaving",
+          "[owner]")
+{
+  std::string leavingServer;
+  {
+    Fixture before;
+    before.answersAtOnce = true;
+    before.answerHeaders = { { "knapweed-leaving", "1" } };
+    before.Run();
+    before.RunLoopFor(Milliseconds(50));
+    leavingServer = before.leavingServer;
+  }
+  REQUIRE_FALSE(leavingServer.empty());
+  Fixture it;
+  it.answersAtOnce = true;
+  it.Run(leavingServer);
+  it.Run();
+  it.RunLoopFor(Milliseconds(50));
+  CHECK(it.answered == 2);
+  CHECK(it.arrivals.empty());
+  // A later start under the same id gets calls.
+  it.backend.startedAtMs += 1;
+  it.dispatcher.SetBackend(it.backend);
+  it.Run(leavingServer);
+  it.RunLoopFor(Milliseconds(50));
+  CHECK(it.arrivals.size() == 1);
+}
--- a/tests/nodes/LinkTest.cpp
+++ b/tests/nodes/LinkTest.cpp
@@ -256,9 +256,11 @@
   result.status = 200;
   result.callId = "call-1";
   result.body = "ring";
+  result.leavingServer = "i-1@7";
   const backends::ServerLoad load{ 3, 2, 12, 40, 35, 5, 29'586, 12 };
   const LinkResponse response = EncodeCallResult(result, load);
   CHECK(DecodeCallResult(response, "call-1")->load == load);
+  CHECK(DecodeCallResult(response, "call-1")->result.leavingServer == "i-1@7");
   CHECK_FALSE(DecodeCallResult(response, "call-2").has_value());
   LinkResponse cut = response;
   cut.body = "rin";
@@ -273,9 +275,11 @@
   call.callId = "call-1";
   const Timestamp now = std::chrono::steady_clock::now();
   call.deadline = now + Milliseconds(100);
+  call.leavingServer = "i-1@7";
   std::string reason;
   LinkRequest request = EncodeCall(call, now);
   REQUIRE(DecodeCall(request, now, reason).has_value());
+  CHECK(DecodeCall(request, now, reason)->leavingServer == "i-1@7");
   request.headers[0].value = "2";
   CHECK_FALSE(DecodeCall(request, now, reason).has_value());
   CHECK(reason == "protocol version \"2\" is not supported");
