Fail on a catalogue that accepts no change after its store was restored

A node keeps version 2, the restored head says 1, and ChangeAcceptor tries for ever to build on a head that lies below the configuration it holds. Measured: the operator gets 'too many concurrent changes to the catalogue' where the change must be accepted and in force within 7 s. Not mended: a node would have to write the lost changes into the store again; the users' platform keeps its configuration in op/config, which operators write again themselves. Conclusion: open.

--- a/tests/node/MeshFaultTest.cpp
+++ b/tests/node/MeshFaultTest.cpp
@@ -326,3 +326,37 @@
   CHECK(mesh->ServingCount() == 9);
   CHECK(mesh->violations.empty());
 }
+
+TEST_CASE(
+  "a catalogue change accepted after the store was restored is in force "
+  "on every node",
+  "[mesh]")
+{
+  const auto mesh = StartedMesh(3);
+  const standins::InMemoryStore copy = mesh->shared.table;
+  const auto accept = [&mesh](const char* aOperation, const char* aVersion) {
+    auto entries = BasicEntries(aVersion);
+    for (auto& it : entries) {
+      config::HeaderOf(it).revision = 1;
+    }
+    mesh->Accept(mesh->members[4], aOperation, std::move(entries));
+    mesh->clock.RunFor(kMaxChangeTime);
+  };
+  accept("lost", "v2");
+  REQUIRE(mesh->AllServe(2));
+  mesh->SetPlatformFault(PlatformFault::kDown);
+  mesh->shared.table.RestoreFrom(copy);
+  mesh->clock.RunFor(Milliseconds(2000));
+  mesh->SetPlatformFault(PlatformFault::kNone);
+  mesh->clock.RunFor(kMaxChangeTime);
+  accept("after", "v3");
+  INFO(mesh->acceptResults["after"].message);
+  REQUIRE(mesh->acceptResults["after"].outcome ==
+          operators::AcceptOutcome::kAccepted);
+  for (const auto& it : mesh->members) {
+    const auto* service = it.view->config->Get<config::ServiceEntry>(
+      config::EntryKind::kService, "svc");
+    REQUIRE(service);
+    CHECK(service->version == "v3");
+  }
+}
