Lift a server's rate limit on its own answers only

A broken answer without the server's stamp lifted the limit that the server had named, and an owner then sent calls without one until the next whole answer (LIMIT). Cause: any parsed response counted as the server's word. Change: a response lifts the limit only if it has the stamp, where the dialect has one; it may still name one. A later start of the server under the same id lifts it, too.

--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -99,7 +99,7 @@
         mDepartedServers.Contains(aBackend->id, aBackend->startedAtMs)) {
       aBackend.reset();
     }
-    if (mBackend && aBackend && mBackend->id != aBackend->id) {
+    if (mBackend && aBackend && !IsSameStart(*mBackend, *aBackend)) {
       mUnreachableUntil = {};
       mRateLimit.Lift();
     }
@@ -436,6 +436,14 @@
     Finish(aRun, std::move(result));
   }
 
+  /** Returns true if a response proves that the server itself responded, or no
+   * proof is expected. */
+  bool HasStamp(const http::Response& aResponse) const
+  {
+    const std::string& name = mServices.dialect.stamp;
+    return name.empty() || http::FindHeader(aResponse.headers, name);
+  }
+
   /** Records the rate limit that a response names, or that it names none. */
   void NoteRateLimit(const http::Response& aResponse, Timestamp aSentAt)
   {
@@ -447,6 +455,9 @@
       LogRateLimit("server_limit_unreadable", *value);
       return;
     }
+    if (!rate && !HasStamp(aResponse)) {
+      return; // Not the server's own answer, so it does not lift the limit.
+    }
     if (mRateLimit.OnAnswer(rate, aSentAt, Now())) {
       LogRateLimit("server_limit", value ? *value : "none");
       mServices.metrics.SetGauge(
@@ -537,8 +548,7 @@
       }
       return result;
     }
-    if (!dialect.stamp.empty() && result.status < kFirstServerError &&
-        !http::FindHeader(aResponse->headers, dialect.stamp)) {
+    if (result.status < kFirstServerError && !HasStamp(*aResponse)) {
       result.outcome = CallOutcome::kUnknown;
       result.reason = "an answer with status " + std::to_string(result.status) +
                       " lacks the stamp header of the backend server";
--- a/tests/backends/BackendDispatcherTest.cpp
+++ b/tests/backends/BackendDispatcherTest.cpp
@@ -20,21 +20,21 @@
 
 struct Fixture
 {
-  Fixture()
+  explicit Fixture(BackendDialect aDialect = {})
     : tracer("test", 0, 1)
     , server(loop,
              [this](const http::ExchangePtr& aExchange) {
                arrivals.push_back(std::chrono::steady_clock::now());
                if (answersAtOnce) {
                  http::Response response;
-                 response.status = 200;
+                 response.status = answerStatus;
                  response.headers = answerHeaders;
                  aExchange->Respond(std::move(response));
                  return;
                }
                pending.push_back(aExchange);
              })
-    , dispatcher({ loop, claims, metrics, tracer, {} }, 0)
+    , dispatcher({ loop, claims, metrics, tracer, std::move(aDialect) }, 0)
   {
     const std::string address = fakes::FreeAddress();
     REQUIRE(server.Listen(address));
@@ -87,6 +87,7 @@
   telemetry::Metrics metrics;
   telemetry::Tracer tracer;
   bool answersAtOnce = false;
+  int answerStatus = 200;
   std::vector<http::Header> answerHeaders;
   std::vector<Timestamp> arrivals;
   std::vector<http::ExchangePtr> pending;
@@ -220,3 +221,21 @@
   it.RunLoopFor(Milliseconds(50));
   CHECK(it.arrivals.size() == 1);
 }
+
+TEST_CASE("an answer that is not the server's own does not lift its rate limit",
+          "[owner]")
+{
+  constexpr std::ptrdiff_t kRate = 10;
+  BackendDialect dialect;
+  dialect.stamp = "stamp";
+  Fixture it(dialect);
+  it.answersAtOnce = true;
+  it.answerHeaders = { { "stamp", "1" },
+                       { "knapweed-rate-limit", std::to_string(kRate) } };
+  it.RunCallsFor(Milliseconds(200));
+  it.answerStatus = 500;
+  it.answerHeaders.clear();
+  const Timestamp from = std::chrono::steady_clock::now();
+  it.RunCallsFor(Milliseconds(1000));
+  CHECK(it.ArrivalsFrom(from) <= 2 * kRate);
+}
