--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -109,7 +109,7 @@
   bool Cancel(std::uint64_t aId);
 
   /** Refuses queued calls that can no longer be answered in time, and grants
-   * slots to those that the rate limit allows by now. */
+   * free slots to those that the rate limit allows by now. */
   void Update(Timestamp aNow);
 
   /** Returns the time until the rate limit allows the next queued call. */
@@ -165,7 +165,6 @@
   /** Moves regular calls that became late to the queue of late calls. */
   void MoveLateCalls(Timestamp aNow);
   void Expire(Timestamp aNow);
-  void GrantQueued(Timestamp aNow);
 
   std::uint32_t mCheckSlots;
   ServerRateLimit& mRateLimit;
--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -101,7 +101,7 @@
   std::uint64_t mQueryGeneration = 0;
   bool mIsQuerying = false; ///< a query or the wait to repeat it is pending
   /** The last query was answered, and the next one follows it at once. */
-  bool mIsAnsweredLast = false;
+  bool mLastQueryAnswered = false;
   std::optional<std::uint64_t> mRevision; ///< last store revision read
   Timestamp mRevisionReadAt{};            ///< time at which mRevision was read
   bool mIsPulling = false;
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -78,7 +78,7 @@
     aRefusal = SlotRefusal::kDraining;
     return std::nullopt;
   }
-  GrantQueued(aNow);
+  Update(aNow);
   const bool isLate = IsLate(aRequest, aNow);
   const bool hasSlot = TakeSlot(aRequest.callClass, aNow);
   const auto refusal =
@@ -115,7 +115,7 @@
     mServiceMs += (static_cast<double>(aServiceTime->count()) - mServiceMs) /
                   mAveragedCalls;
   }
-  GrantQueued(aNow);
+  Update(aNow);
 }
 
 bool
@@ -131,12 +131,6 @@
   return erased > 0;
 }
 
-void
-SlotQueue::Update(Timestamp aNow)
-{
-  GrantQueued(aNow);
-}
-
 void
 SlotQueue::Expire(Timestamp aNow)
 {
@@ -293,7 +287,7 @@
 }
 
 void
-SlotQueue::GrantQueued(Timestamp aNow)
+SlotQueue::Update(Timestamp aNow)
 {
   Expire(aNow);
   MoveLateCalls(aNow);
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -120,7 +120,8 @@
   // A store that was restored since the last answer could hold a query from a
   // revision that it gave out again for the whole wait. An immediate answer
   // tells whether it was.
-  const Milliseconds wait = mIsAnsweredLast ? kMaxStoreWait : Milliseconds(0);
+  const Milliseconds wait =
+    mLastQueryAnswered ? kMaxStoreWait : Milliseconds(0);
   mServices.orders.Follow(
     *mRevision,
     wait,
@@ -136,7 +137,7 @@
 ConfigFollower::OnStoreAnswer(const std::optional<OrderUpdate>& aChanges,
                               const StoreReason& aReason)
 {
-  mIsAnsweredLast = aChanges.has_value();
+  mLastQueryAnswered = aChanges.has_value();
   if (aChanges) {
     OnStoreChanges(*aChanges);
   } else if (aReason.code == StoreError::kHistoryGone) {
@@ -180,7 +181,7 @@
   if (mIsQuerying) {
     QueryStore();
   } else {
-    mIsAnsweredLast = false;
+    mLastQueryAnswered = false;
   }
 }
 
