--- a/tests/processes/ProcessTest.cpp
+++ b/tests/processes/ProcessTest.cpp
@@ -188,7 +188,7 @@
   "restarted",
   "[processes]")
 {
-  constexpr int kRate = 20;
+  constexpr std::size_t kRate = 20;
   constexpr std::int64_t kWindowMicroseconds = 4'000'000;
   // One and a half times the rate, and 5 calls more, in any 4 s.
   constexpr std::size_t kMaxCalls = kRate * 4 * 3 / 2 + 5;
