Repeat the rewriting of member rows once, however many writes failed

Cause: with over 100 members in a zone the rows take several writes, and each that failed began the whole rewriting anew, so the calls to a store that is away would have doubled each second. Change: one repetition at a time; two test servers share the code by which they listen. Measured: FleetTest and ExchangeTest pass; found on reading, no run showed it.

--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -102,6 +102,7 @@
   bool mAnyPeerAnswered = false; ///< true if a peer answered in this round
   bool mRowWritten = false;
   bool mRetryPending = false;
+  bool mRewritePending = false; ///< RewriteZoneRows() is to be repeated
 };
 
 /** Returns the "IP:port" on which a member accepts link connections. */
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -184,10 +184,15 @@
     mServices.platform.Commit(
       std::move(transaction),
       [this](bool aDone, const store::StoreReason& aReason) {
-        if (!aDone) {
-          LogStoreFailure("zone_rows_unwritten", aReason.message);
-          mServices.scheduler.RunAfter(kRewriteRetryDelay,
-                                       [this] { RewriteZoneRows(); });
+        if (aDone) {
+          return;
+        }
+        LogStoreFailure("zone_rows_unwritten", aReason.message);
+        if (!std::exchange(mRewritePending, true)) {
+          mServices.scheduler.RunAfter(kRewriteRetryDelay, [this] {
+            mRewritePending = false;
+            RewriteZoneRows();
+          });
         }
       });
   }
--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -111,22 +111,29 @@
   return count;
 }
 
+/** Returns a socket that listens on a free port, and sets its "IP:port". */
+int
+ListenOnLoopback(std::string& aAddress)
+{
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in bound{};
+  bound.sin_family = AF_INET;
+  bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
+  listen(fd, 8);
+  socklen_t size = sizeof(bound);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size);
+  aAddress = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+  return fd;
+}
+
 /** A server with one connection at a time; the test writes the responses. */
 class ScriptedServer
 {
 public:
   ScriptedServer()
   {
-    mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in bound{};
-    bound.sin_family = AF_INET;
-    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(
-      bind(mListener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
-    listen(mListener, 8);
-    socklen_t size = sizeof(bound);
-    getsockname(mListener, reinterpret_cast<sockaddr*>(&bound), &size);
-    address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+    mListener = ListenOnLoopback(address);
     fcntl(mListener, F_SETFL, O_NONBLOCK);
   }
 
@@ -430,16 +437,7 @@
     while (mBlock.size() < kBlockBytes) {
       mBlock += aPart;
     }
-    mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in bound{};
-    bound.sin_family = AF_INET;
-    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(
-      bind(mListener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
-    listen(mListener, 8);
-    socklen_t size = sizeof(bound);
-    getsockname(mListener, reinterpret_cast<sockaddr*>(&bound), &size);
-    address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+    mListener = ListenOnLoopback(address);
     mThread = std::thread([this] { Accept(); });
   }
 
