End a link session once when its peer closes while it connects

Cause: when a socket connects and its peer closes it before the loop polls, libevent reports the end first and the connection afterwards, and it does not disable the write event of a connecting socket. LinkSession then called onConnected after onClosed, and LinkClient started a ping timer for a connection that it had dropped and freed.

Change: a failed session reports nothing further, whatever the event.

Result: LinkSessionTest "a session whose peer closes while it connects reports only its end" failed for FIN and RST (onConnected after the end) and passes.

--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -200,6 +200,10 @@
   static void OnEvent(bufferevent*, short aWhat, void* aSelf)
   {
     auto& self = Self(aSelf);
+    // libevent reports the connection also if its end was read before.
+    if (self.mFailed) {
+      return;
+    }
     if (aWhat & BEV_EVENT_CONNECTED) {
       self.mConnected = true;
       self.Flush();
--- a/tests/nodes/LinkSessionTest.cpp
+++ b/tests/nodes/LinkSessionTest.cpp
@@ -6,9 +6,11 @@
 #include "knapweedpaddle/runtime/EventLoop.h"
 
 #include <catch2/catch.hpp>
+#include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <fcntl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 using namespace knapweedpaddle;
 using namespace knapweedpaddle::nodes;
@@ -85,3 +87,47 @@
   CHECK(pair.messages == 1);
   CHECK_FALSE(pair.heardAfterEnd);
 }
+
+TEST_CASE("a session whose peer closes while it connects reports only its end",
+          "[links]")
+{
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(bind(listener,
+               reinterpret_cast<sockaddr*>(&address),
+               sizeof(address)) == 0);
+  REQUIRE(listen(listener, 1) == 0);
+  socklen_t size = sizeof(address);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+
+  runtime::EventLoop loop;
+  bufferevent* buffer =
+    bufferevent_socket_new(loop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  REQUIRE(
+    bufferevent_socket_connect(
+      buffer, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  int ends = 0;
+  bool heardAfterEnd = false;
+  LinkSession::Handler handler;
+  handler.onMessage = [](std::int32_t) {};
+  handler.onStreamClosed = [](std::int32_t, std::uint32_t) {};
+  handler.onClosed = [&ends](const std::string&) { ++ends; };
+  handler.onConnected = [&] { heardAfterEnd |= ends > 0; };
+  LinkSession session(LinkSession::Role::kClient, buffer, handler);
+  // The loop sees the established connection and its end in one poll.
+  const int peer = accept(listener, nullptr, nullptr);
+  REQUIRE(peer >= 0);
+  const linger zeroLinger{ 1, 0 };
+  const bool reset = GENERATE(false, true);
+  if (reset) {
+    setsockopt(peer, SOL_SOCKET, SO_LINGER, &zeroLinger, sizeof(zeroLinger));
+  }
+  close(peer);
+  close(listener);
+  loop.RunAfter(kSettle, [&loop] { loop.Stop(); });
+  loop.Run();
+  CHECK(ends == 1);
+  CHECK_FALSE(heardAfterEnd);
+}
