Take a refusal for a call only if it certainly belongs to that call

A server that wrote an earlier refusal again without an id on a kept connection thus ended a call as not run while it ran it, and the call was sent to a second server.

Change: the HTTP client says how a response is attributed: by its id, as the first on its connection, or only by order. AnswerReader, split out of BackendDispatcher, reports a call as not run only in the first two cases; by order alone the outcome is unknown. A connection is not reused after a response without an id. A call is never sent to the same owner twice, so the same id does not come twice on a connection.

Ruled out: copies that carry the earlier id; they were dropped before, too.

--- a/include/knapweedpaddle/http/Message.h
+++ b/include/knapweedpaddle/http/Message.h
@@ -22,6 +22,16 @@
   bool keepAlive = true;
 };
 
+/** How a client knows which request a response belongs to. */
+enum class Attribution
+{
+  kById,              ///< it repeats the id of the request
+  kFirstOnConnection, ///< the connection carried no other request before
+  /** It came next on a connection that was used before, without an id, so it
+   * may be a copy of an earlier response. */
+  kByOrder,
+};
+
 /** A response with its complete body. */
 struct Response
 {
@@ -30,6 +40,8 @@
   std::vector<Header> headers; ///< in order, duplicates included
   std::string body;            ///< without chunk framing
   bool keepAlive = true;
+  /** Set by http::Client if ClientOptions::correlationHeader is. */
+  Attribution attribution = Attribution::kById;
 };
 
 /** Compares two ASCII strings without regard to case. */
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/backends/BackendDispatcher.h"
 
+#include "AnswerReader.h"
 #include "knapweedpaddle/backends/DepartedServers.h"
 #include "knapweedpaddle/backends/ServerRateLimit.h"
 #include "knapweedpaddle/http/Client.h"
@@ -31,7 +32,6 @@
 constexpr double kLogLinesPerSecond = 20;
 constexpr double kLogBurst = 100;
 constexpr int kFirstServerError = 500;
-constexpr int kMisdirectedRequest = 421;
 /** Limit of the bytes of all answers in progress together. An answer without
  * end must not use up the memory, which is 88 MB on the smallest VMs. */
 constexpr std::size_t kMaxAnswerBytes = 16UL * 1024 * 1024;
@@ -40,8 +40,6 @@
 /** Weight of one call in the moving average of a route's service time. */
 constexpr double kRouteTimeSmoothing = 0.1;
 constexpr double kPercent = 100;
-/** Value of the response header BackendDialect::leaving. */
-constexpr std::string_view kLeaving = "1";
 /** Value of the metric for the rate limit while the server names none. */
 constexpr double kNoRateLimit = -1;
 
@@ -84,6 +82,7 @@
 
   Impl(Services aServices, std::uint32_t aCheckSlots)
     : mServices(std::move(aServices))
+    , mAnswers(mServices.dialect)
     , mHttp(mServices.loop, ClientOptionsFor(mServices.dialect))
     , mSlots(aCheckSlots,
              mRateLimit,
@@ -417,7 +416,7 @@
     bool isLeaving = false;
     if (aResponse) {
       NoteRateLimit(*aResponse, pending.sentAt);
-      isLeaving = SaysLeaving(*aResponse);
+      isLeaving = mAnswers.SaysLeaving(*aResponse);
     }
     CallResult result = ResultOf(pending.call, std::move(aResponse), aReason);
     if (isLeaving) {
@@ -436,26 +435,16 @@
     Finish(aRun, std::move(result));
   }
 
-  /** Returns true if a response proves that the server itself responded, or no
-   * proof is expected. */
-  bool HasStamp(const http::Response& aResponse) const
-  {
-    const std::string& name = mServices.dialect.stamp;
-    return name.empty() || http::FindHeader(aResponse.headers, name);
-  }
-
   /** Records the rate limit that a response names, or that it names none. */
   void NoteRateLimit(const http::Response& aResponse, Timestamp aSentAt)
   {
-    const std::string& name = mServices.dialect.rateLimit;
-    const std::string* value =
-      name.empty() ? nullptr : http::FindHeader(aResponse.headers, name);
+    const std::string* value = mAnswers.RateLimit(aResponse);
     const auto rate = value ? ServerRateLimit::Parse(*value) : std::nullopt;
     if (value && !rate) {
       LogRateLimit("server_limit_unreadable", *value);
       return;
     }
-    if (!rate && !HasStamp(aResponse)) {
+    if (!rate && !mAnswers.HasStamp(aResponse)) {
       return; // Not the server's own answer, so it does not lift the limit.
     }
     if (mRateLimit.OnAnswer(rate, aSentAt, Now())) {
@@ -465,15 +454,6 @@
     }
   }
 
-  /** Returns true if a response says that its server leaves. */
-  bool SaysLeaving(const http::Response& aResponse) const
-  {
-    const std::string& name = mServices.dialect.leaving;
-    const std::string* value =
-      name.empty() ? nullptr : http::FindHeader(aResponse.headers, name);
-    return value && *value == kLeaving;
-  }
-
   /** Stops sending calls to a server that is leaving. */
   void OnLeaving(const BackendServer& aServer)
   {
@@ -520,44 +500,20 @@
                       std::optional<http::Response> aResponse,
                       const ClientReason& aReason)
   {
-    const BackendDialect& dialect = mServices.dialect;
-    CallResult result;
-    result.callId = aCall.callId;
-    if (!aResponse) {
-      const bool notSent = aReason.code == ClientError::kNotSent;
-      if (notSent) {
-        mUnreachableUntil = Now() + kUnreachableBackoff;
-      }
-      result.outcome = notSent ? CallOutcome::kNotRun : CallOutcome::kUnknown;
-      result.reason = aReason.message;
-      return result;
-    }
-    result.status = aResponse->status;
-    const bool misdirected =
-      result.status == kMisdirectedRequest && !dialect.expectServer.empty();
-    if (misdirected || (!dialect.notRun.empty() &&
-                        http::FindHeader(aResponse->headers, dialect.notRun))) {
-      result.outcome = CallOutcome::kNotRun;
-      result.arrived = !misdirected;
-      result.reason = "the backend server refused the call with status " +
-                      std::to_string(result.status);
-      if (misdirected) {
+    if (aResponse) {
+      if (mAnswers.IsMisdirected(*aResponse)) {
         // The address now belongs to another server, whose report will register
         // it.
         RemoveBackend();
       }
-      return result;
-    }
-    if (result.status < kFirstServerError && !HasStamp(*aResponse)) {
-      result.outcome = CallOutcome::kUnknown;
-      result.reason = "an answer with status " + std::to_string(result.status) +
-                      " lacks the stamp header of the backend server";
-      return result;
-    }
-    result.outcome = CallOutcome::kAnswered;
-    result.reasonPhrase = std::move(aResponse->reason);
-    result.body = std::move(aResponse->body);
-    result.headers = http::EndToEndHeaders(aResponse->headers);
+      return mAnswers.ResultOf(aCall.callId, std::move(*aResponse));
+    }
+    const bool notSent = aReason.code == ClientError::kNotSent;
+    if (notSent) {
+      mUnreachableUntil = Now() + kUnreachableBackoff;
+    }
+    CallResult result = NotRunResult(aCall, aReason.message);
+    result.outcome = notSent ? CallOutcome::kNotRun : CallOutcome::kUnknown;
     return result;
   }
 
@@ -649,6 +605,7 @@
   }
 
   Services mServices;
+  AnswerReader mAnswers;
   http::Client mHttp;
   ServerRateLimit mRateLimit;
   SlotQueue mSlots;
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -108,6 +108,7 @@
 ClientConnection::Send(const Request& aRequest)
 {
   mAwaitingResponse = true;
+  ++mExchanges;
   mHeadRequest = aRequest.method == "HEAD";
   mDroppedOtherResponse = false;
   mExchangeBytes = 0;
@@ -213,12 +214,33 @@
   }
   const bool hasUnsentBytes =
     evbuffer_get_length(bufferevent_get_output(mBuffer)) > 0;
+  // After a response without the id of its request, a copy of it could be taken
+  // for the response to the next request.
+  const bool hasId = AttributionOf(response) == Attribution::kById;
   mReusable = response.keepAlive && !hasMoreInput && !hasUnsentBytes &&
-              !mDroppedOtherResponse;
+              !mDroppedOtherResponse && hasId;
   StartIdleTimer(response);
-  mAwaitingResponse = false;
   mIdleSince = std::chrono::steady_clock::now();
-  mHandler.onResponse(std::move(response), {});
+  Deliver(std::move(response));
+}
+
+void
+ClientConnection::Deliver(Response aResponse)
+{
+  mAwaitingResponse = false;
+  aResponse.attribution = AttributionOf(aResponse);
+  mHandler.onResponse(std::move(aResponse), {});
+}
+
+Attribution
+ClientConnection::AttributionOf(const Response& aResponse) const
+{
+  if (mCorrelationId.empty() ||
+      FindHeader(aResponse.headers, mOptions.correlationHeader)) {
+    return Attribution::kById;
+  }
+  return mExchanges == 1 ? Attribution::kFirstOnConnection
+                         : Attribution::kByOrder;
 }
 
 bool
@@ -269,8 +291,7 @@
     if (mParser.CurrentState() == MessageParser::State::kComplete) {
       Response response = mParser.TakeResponse();
       if (!AnswersOtherRequest(response)) {
-        mAwaitingResponse = false;
-        mHandler.onResponse(std::move(response), {});
+        Deliver(std::move(response));
         return;
       }
     }
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -63,6 +63,9 @@
   void Fail(ClientError aError, const std::string& aMessage);
   void StartIdleTimer(const Response& aResponse);
   bool AnswersOtherRequest(const Response& aResponse) const;
+  Attribution AttributionOf(const Response& aResponse) const;
+  /** Ends the exchange with a response. */
+  void Deliver(Response aResponse);
 
   runtime::EventLoop& mLoop;
   const ClientOptions& mOptions;
@@ -78,6 +81,7 @@
   bool mReusable = true;
   bool mHeadRequest = false;
   bool mDroppedOtherResponse = false; ///< another request's response came
+  std::size_t mExchanges = 0;         ///< requests sent so far
   std::size_t mExchangeBytes = 0;     ///< bytes received since Send()
   std::size_t mSkippedResponses = 0;  ///< interim and others' since Send()
 };
