Lose no call to a planned stop, and know which calls a peer never got whole

A request whose body had not left was reported as one that might have run, so callers could not try again. An owner counted a call's time from the end of its body.

Change: StopWindow decides which calls a stopping node takes, as ingress and as owner: those that are certain to end before it exits. What is left at the end is answered. The client closes a link after a GOAWAY, not the server, and a node waits until its answers have left. A link makes no more frames while 32 KiB wait. A request that a link did not send whole is reported as not sent.

--- a/include/knapweedpaddle/backends/BackendDispatcher.h
+++ b/include/knapweedpaddle/backends/BackendDispatcher.h
@@ -5,6 +5,7 @@
 #include "knapweedpaddle/backends/ServerLoad.h"
 #include "knapweedpaddle/backends/SlotQueue.h"
 #include "knapweedpaddle/callers/Call.h"
+#include "knapweedpaddle/common/StopWindow.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
 #include "knapweedpaddle/telemetry/Metrics.h"
 #include "knapweedpaddle/telemetry/Tracer.h"
@@ -129,6 +130,9 @@
   /** Cancels a call; its callback never runs. */
   void Cancel(RunId aRun);
 
+  /** Limits the calls taken from now on to those that the window takes. */
+  void BeginStop(const StopWindow& aWindow);
+
   /** Refuses new and queued calls; dispatched calls continue. */
   void Drain();
 
--- a/include/knapweedpaddle/callers/CallForwarder.h
+++ b/include/knapweedpaddle/callers/CallForwarder.h
@@ -3,6 +3,7 @@
 #include "knapweedpaddle/backends/BackendDispatcher.h"
 #include "knapweedpaddle/callers/Call.h"
 #include "knapweedpaddle/callers/CallJournal.h"
+#include "knapweedpaddle/common/StopWindow.h"
 #include "knapweedpaddle/nodes/LinkClient.h"
 #include "knapweedpaddle/routing/RoutingView.h"
 
@@ -59,9 +60,15 @@
    */
   CancelTask Forward(CallRequest aRequest, CallResultCallback aCallback);
 
+  /** Limits the calls taken from now on to those that the window takes. */
+  void BeginStop(const StopWindow& aWindow);
+
   /** Refuses new and held calls; calls in flight continue. */
   void Drain();
 
+  /** Answers all calls in flight: as not run if that is certain. */
+  void EndAll(const std::string& aReason);
+
   /** Returns the number of calls without a result, including held calls. */
   std::size_t InFlight() const;
 
--- a/include/knapweedpaddle/callers/CallerServer.h
+++ b/include/knapweedpaddle/callers/CallerServer.h
@@ -64,6 +64,9 @@
 
   std::size_t InFlight() const { return mServer.InFlight(); }
 
+  /** Returns true while answers wait to be sent. */
+  bool HasUnsentBytes() const { return mServer.HasUnsentBytes(); }
+
 private:
   void OnExchange(const http::ExchangePtr& aExchange);
   /** Builds a call request from an HTTP request; false if a header is invalid,
--- a/include/knapweedpaddle/http/Server.h
+++ b/include/knapweedpaddle/http/Server.h
@@ -68,6 +68,9 @@
   /** Returns the number of requests that have no response yet. */
   std::size_t InFlight() const;
 
+  /** Returns true while responses wait to be sent. */
+  bool HasUnsentBytes() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> mImpl;
--- a/include/knapweedpaddle/nodes/Link.h
+++ b/include/knapweedpaddle/nodes/Link.h
@@ -12,7 +12,7 @@
 /** Why a request to a peer got no response. */
 enum class LinkError
 {
-  /** No connection was established, so the peer never got the request. */
+  /** The peer never got the whole request, so it did not process it. */
   kNotSent,
   /** The peer reported that it did not process the request. */
   kRefused,
@@ -50,6 +50,8 @@
   /** Keeps waiting for the response until the timeout even if the connection
    * stops answering pings, because the request must not be sent again. */
   bool waitUntilTimeout = false;
+  /** Set for a received request: when its headers began to arrive. */
+  Timestamp begunAt{};
 };
 
 /** Response of a peer to a LinkRequest. */
--- a/include/knapweedpaddle/nodes/LinkServer.h
+++ b/include/knapweedpaddle/nodes/LinkServer.h
@@ -61,6 +61,9 @@
    * continue. */
   void GoAway();
 
+  /** Returns true while responses wait to be sent. */
+  bool HasUnsentBytes() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> mImpl;
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -137,6 +137,8 @@
     }
   }
 
+  void BeginStop(const StopWindow& aWindow) { mStopWindow = aWindow; }
+
   void Drain() { mSlots.Drain(); }
 
   std::size_t InFlight() const { return mPending.size(); }
@@ -214,6 +216,10 @@
       Refuse(aRun, "no backend server is registered at this node");
       return;
     }
+    if (!mStopWindow.Takes(Now(), call.deadline)) {
+      Refuse(aRun, "this node is stopping and may exit before the call ends");
+      return;
+    }
     if (Now() < mUnreachableUntil) {
       Refuse(aRun, "the backend server of this node refuses connections");
       return;
@@ -609,6 +615,7 @@
   http::Client mHttp;
   ServerRateLimit mRateLimit;
   SlotQueue mSlots;
+  StopWindow mStopWindow;
   std::uint64_t mDispatchedCalls = 0;
   std::optional<BackendServer> mBackend;
   DepartedServers mDepartedServers; ///< servers whose answers said so
@@ -650,6 +657,12 @@
   mImpl->Cancel(aRun);
 }
 
+void
+BackendDispatcher::BeginStop(const StopWindow& aWindow)
+{
+  mImpl->BeginStop(aWindow);
+}
+
 void
 BackendDispatcher::Drain()
 {
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -16,6 +16,7 @@
 #include <cstdio>
 #include <map>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace knapweedpaddle::callers {
 
@@ -135,13 +136,23 @@
 
   void Close() { mClosed = true; }
 
+  void BeginStop(const StopWindow& aWindow) { mStopWindow = aWindow; }
+
   void Drain()
   {
     mDraining = true;
     mHeldCalls.RejectAll();
   }
 
-  std::size_t InFlight() const { return mInFlight; }
+  void EndAll(const std::string& aReason)
+  {
+    const auto calls = mCalls;
+    for (const auto& it : calls) {
+      FinishUnanswered(it, aReason);
+    }
+  }
+
+  std::size_t InFlight() const { return mCalls.size(); }
 
   CancelTask Forward(CallRequest aRequest, CallResultCallback aCallback)
   {
@@ -156,7 +167,7 @@
     const auto parent = mServices.tracer.Begin(call->request.traceparent);
     call->parentSpan = parent.spanId;
     call->trace = mServices.tracer.Child(parent);
-    ++mInFlight;
+    mCalls.insert(call);
 
     Start(call);
     return call->finished ? CancelTask()
@@ -272,9 +283,13 @@
         route->header.name, *left, aCall.receivedAt);
     }
     aCall.deadline = aCall.receivedAt + timeout;
-    if (aCall.deadline < Now() + kMinTimeout) {
+    const Timestamp now = Now();
+    if (aCall.deadline < now + kMinTimeout) {
       return "the deadline has passed";
     }
+    if (!mStopWindow.Takes(now, aCall.deadline)) {
+      return "this node is stopping and may exit before the call ends";
+    }
     if (!route->limit.empty() && !TakeLimit(route->limit, aCall.receivedAt)) {
       return "limit \"" + route->limit + "\" is exceeded";
     }
@@ -635,6 +650,9 @@
    * of a backend server if there was one. */
   void FinishUnanswered(const CallPtr& aCall, const std::string& aReason)
   {
+    if (aCall->finished) {
+      return;
+    }
     if (aCall->failure && aCall->failure->outcome == CallOutcome::kAnswered) {
       Finish(aCall, std::move(*aCall->failure));
       return;
@@ -669,7 +687,7 @@
   void StopCall(const CallPtr& aCall)
   {
     aCall->finished = true;
-    --mInFlight;
+    mCalls.erase(aCall);
     mHeldCalls.Remove(std::exchange(aCall->holdId, 0));
     mServices.loop.Cancel(std::exchange(aCall->hedgeTimer, 0));
     mServices.loop.Cancel(std::exchange(aCall->deadlineTimer, 0));
@@ -772,7 +790,8 @@
   HeldCalls mHeldCalls;
   CallerTimeoutEstimator mCallerTimeouts;
   telemetry::LogRateLimiter mLogLimiter{ kLogLinesPerSecond, kLogBurst };
-  std::size_t mInFlight = 0;
+  std::unordered_set<CallPtr> mCalls; ///< calls without a result
+  StopWindow mStopWindow;
   bool mDraining = false;
   bool mClosed = false;
 };
@@ -804,12 +823,24 @@
   return mImpl->Forward(std::move(aRequest), std::move(aCallback));
 }
 
+void
+CallForwarder::BeginStop(const StopWindow& aWindow)
+{
+  mImpl->BeginStop(aWindow);
+}
+
 void
 CallForwarder::Drain()
 {
   mImpl->Drain();
 }
 
+void
+CallForwarder::EndAll(const std::string& aReason)
+{
+  mImpl->EndAll(aReason);
+}
+
 std::size_t
 CallForwarder::InFlight() const
 {
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -3,6 +3,7 @@
 #include "ServerConnection.h"
 #include "runtime/SocketAddress.h"
 
+#include <algorithm>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
@@ -51,6 +52,13 @@
 
   ServerContext& Context() { return mContext; }
 
+  bool HasUnsentBytes() const
+  {
+    return std::ranges::any_of(mConnections, [](const auto& aItem) {
+      return aItem.second->HasUnsentBytes();
+    });
+  }
+
 private:
   static void OnAccept(evconnlistener*,
                        evutil_socket_t aSocket,
@@ -108,4 +116,10 @@
   return mImpl->Context().inFlight;
 }
 
+bool
+Server::HasUnsentBytes() const
+{
+  return mImpl->HasUnsentBytes();
+}
+
 } // namespace knapweedpaddle::http
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -240,6 +240,12 @@
   });
 }
 
+bool
+ServerConnection::HasUnsentBytes() const
+{
+  return !mClosed && evbuffer_get_length(bufferevent_get_output(mBuffer)) > 0;
+}
+
 void
 ServerConnection::OnDisconnected()
 {
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -42,6 +42,9 @@
   /** Sends the response of the current exchange. */
   void SendResponse(const Response& aResponse);
 
+  /** Returns true while a response waits to be sent. */
+  bool HasUnsentBytes() const;
+
 private:
   class PendingExchange;
   friend struct ServerConnectionCallbacks;
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -27,12 +27,6 @@
 constexpr Milliseconds kStoreTimeout{ 1500 };
 constexpr Milliseconds kSettingsPollInterval{ 1000 };
 constexpr Milliseconds kStopPollInterval{ 50 };
-/** Calls are still accepted for this time after a stop signal: callers may keep
- * sending them until two readiness checks have failed. */
-constexpr Milliseconds kStopLinger{ 2500 };
-/** Part of the stop time that is left for the process to exit before it is
- * killed. */
-constexpr Milliseconds kExitMargin{ 400 };
 constexpr Milliseconds kLinkConnectTimeout{ 300 };
 constexpr Milliseconds kLinkPingInterval{ 500 };
 constexpr Milliseconds kLinkPingTimeout{ 700 };
@@ -358,12 +352,9 @@
       return;
     }
     mStopping = true;
-    const Timestamp now = mControlLoop.Now();
-    mLingerUntil =
-      now + std::min<Milliseconds>(kStopLinger, mSettings.gracePeriod / 2);
-    mStopBy = now + mSettings.gracePeriod - kExitMargin;
+    mStopWindow = StopWindow(mControlLoop.Now(), mSettings.gracePeriod);
     LogCoreEvent("stopping", "");
-    mTraffic.DrainCallers();
+    mTraffic.BeginStop(mStopWindow);
     mCore.Leave();
     PollInFlight();
   }
@@ -373,25 +364,27 @@
   {
     mTrafficLoop.Post([this] {
       const std::size_t left = mTraffic.InFlight();
-      mControlLoop.Post([this, left] { OnInFlight(left); });
+      const bool isIdle = left == 0 && !mTraffic.HasUnsentAnswers();
+      mControlLoop.Post([this, left, isIdle] { OnInFlight(left, isIdle); });
     });
   }
 
-  void OnInFlight(std::size_t aLeft)
+  void OnInFlight(std::size_t aLeft, bool aIsIdle)
   {
     const Timestamp now = mControlLoop.Now();
-    const bool lingering = now < mLingerUntil;
+    const bool lingering = mStopWindow.IsOpen(now);
     // aLeft was counted before the drain, so calls that arrived since then are
     // only seen by the next poll.
     const bool drainsNow = !lingering && !std::exchange(mDrained, true);
     if (drainsNow) {
       mTraffic.Drain();
     }
-    if ((lingering || drainsNow || aLeft > 0) && now < mStopBy) {
+    if ((lingering || drainsNow || !aIsIdle) && now < mStopWindow.EndsAt()) {
       mControlLoop.RunAfter(kStopPollInterval, [this] { PollInFlight(); });
       return;
     }
     mExitCode = aLeft > 0 ? kExitCallsLost : kExitGraceful;
+    mTraffic.EndCalls();
     // Gives the HTTP servers time to send the last answers.
     mControlLoop.RunAfter(kStopPollInterval, [this] { mControlLoop.Stop(); });
   }
@@ -414,8 +407,7 @@
   http::Server mReports;
   http::Server mMetricsPage;
   std::filesystem::file_time_type mSettingsWritten{};
-  Timestamp mLingerUntil{};
-  Timestamp mStopBy{};
+  StopWindow mStopWindow;
   bool mStopping = false;
   bool mDrained = false;
   int mExitCode = kExitGraceful;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -159,6 +159,7 @@
       return;
     }
     mExitCode = aLeft > 0 ? kExitCallsLost : kExitGraceful;
+    mTraffic.EndCalls();
     // Gives the HTTP server time to send the last answers.
     mControlLoop.RunAfter(kDrainPollInterval, [this] { mControlLoop.Stop(); });
   }
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -112,9 +112,13 @@
 }
 
 void
-TrafficPlane::DrainCallers()
+TrafficPlane::BeginStop(const StopWindow& aWindow)
 {
-  mServices.loop.Post([this] { mCallers.Drain(); });
+  mServices.loop.Post([this, aWindow] {
+    mCallers.Drain();
+    mForwarder.BeginStop(aWindow);
+    mDispatcher.BeginStop(aWindow);
+  });
 }
 
 void
@@ -128,6 +132,19 @@
   });
 }
 
+void
+TrafficPlane::EndCalls()
+{
+  mServices.loop.Post(
+    [this] { mForwarder.EndAll("the node stops before the call ended"); });
+}
+
+bool
+TrafficPlane::HasUnsentAnswers() const
+{
+  return mCallers.HasUnsentBytes() || mServer.HasUnsentBytes();
+}
+
 std::size_t
 TrafficPlane::InFlight() const
 {
@@ -174,8 +191,11 @@
 TrafficPlane::OnCall(LinkRequest aRequest, const LinkResponderPtr& aResponder)
 {
   const Timestamp now = std::chrono::steady_clock::now();
+  // The call's time was stated when its headers were sent; a large body arrives
+  // long after them on a slow link.
+  const Timestamp begunAt = aRequest.begunAt;
   std::string reason;
-  auto call = nodes::DecodeCall(std::move(aRequest), now, reason);
+  auto call = nodes::DecodeCall(std::move(aRequest), begunAt, reason);
   if (!call) {
     mServices.metrics.Count("bad_link_requests_total", {});
     LinkResponse response;
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -82,15 +82,22 @@
   /** Sets the service that this node's callers belong to. Any thread. */
   void SetCallerService(const std::string& aService);
 
-  /** Closes each caller connection after its next answer. Any thread. */
-  void DrainCallers();
+  /** Closes each caller connection after its next answer, and takes only calls
+   * that the window takes. Any thread. */
+  void BeginStop(const StopWindow& aWindow);
 
   /** Refuses new calls from callers and peers. Any thread. */
   void Drain();
 
+  /** Answers the calls of callers that are in progress. Any thread. */
+  void EndCalls();
+
   /** Returns the number of calls in progress. Traffic thread. */
   std::size_t InFlight() const;
 
+  /** Returns true while answers wait to be sent. Traffic thread. */
+  bool HasUnsentAnswers() const;
+
 private:
   void OnLinkRequest(nodes::LinkRequest aRequest,
                      const nodes::LinkResponderPtr& aResponder);
--- a/src/nodes/LinkClient.cpp
+++ b/src/nodes/LinkClient.cpp
@@ -193,36 +193,59 @@
   }
 
   /** Retires a connection that stopped answering pings. Only requests with
-   * waitUntilTimeout stay on it; the others fail. */
+   * waitUntilTimeout that the peer may have got stay on it; the others fail. */
   void OnPingTimeout(Connection* aConnection)
   {
     mUnresponsiveLinks += aConnection->retired ? 0 : 1;
     Retire(aConnection);
-    std::vector<RequestId> abandoned;
+    struct Abandoned
+    {
+      std::int32_t stream;
+      RequestId id;
+      LinkError code;
+    };
+    std::vector<Abandoned> abandoned;
     std::erase_if(aConnection->requests, [&](const auto& aItem) {
-      const auto it = mRequests.find(aItem.second);
-      if (it != mRequests.end() && it->second.waitUntilTimeout) {
+      const auto [stream, id] = aItem;
+      const auto it = mRequests.find(id);
+      const LinkError code =
+        ErrorFor(*aConnection, stream, LinkError::kUnresponsive);
+      if (it != mRequests.end() && it->second.waitUntilTimeout &&
+          code != LinkError::kNotSent) {
         return false;
       }
-      abandoned.push_back(aItem.second);
+      abandoned.push_back({ stream, id, code });
       return true;
     });
+    const std::string address = aConnection->address;
     if (aConnection->requests.empty()) {
       Drop(aConnection, LinkError::kUnresponsive, "no answer to a ping");
     } else {
       RestartTimer(aConnection, mOptions.pingInterval);
+      // Resetting a stream may drop the connection, which stays valid until a
+      // later task.
+      for (const auto& it : abandoned) {
+        aConnection->session->ResetStream(it.stream, NGHTTP2_CANCEL);
+      }
     }
-    const std::string address = aConnection->address;
     mLoop.Post([this, abandoned, address] {
-      for (const auto id : abandoned) {
-        Finish(id,
-               std::nullopt,
-               LinkError::kUnresponsive,
-               address + ": no answer to a ping");
+      for (const auto& it : abandoned) {
+        Finish(it.id, std::nullopt, it.code, address + ": no answer to a ping");
       }
     });
   }
 
+  /** Returns the error for a request whose stream or connection ends now:
+   * kNotSent if the peer did not get the whole request. */
+  static LinkError ErrorFor(const Connection& aConnection,
+                            std::int32_t aStream,
+                            LinkError aCode)
+  {
+    return aConnection.connected && aConnection.session->MaySendWhole(aStream)
+             ? aCode
+             : LinkError::kNotSent;
+  }
+
   void Retire(Connection* aConnection)
   {
     aConnection->retired = true;
@@ -259,7 +282,7 @@
     aConnection.requests.erase(it);
     const LinkSession::Stream* stream =
       aConnection.session->FindStream(aStream);
-    LinkError code = LinkError::kBroken;
+    LinkError code = ErrorFor(aConnection, aStream, LinkError::kBroken);
     if (aCode == NGHTTP2_REFUSED_STREAM) {
       code = LinkError::kRefused;
     } else if (stream && stream->tooLarge) {
@@ -279,17 +302,13 @@
     }
     Connection* connection = it->second.connection;
     const std::int32_t stream = it->second.stream;
-    const bool sent = connection && connection->connected;
+    LinkError code = LinkError::kNotSent;
     if (connection) {
+      code = ErrorFor(*connection, stream, LinkError::kTimeout);
       connection->requests.erase(stream);
-    }
-    Finish(aRequest,
-           std::nullopt,
-           sent ? LinkError::kTimeout : LinkError::kNotSent,
-           "no response before the timeout");
-    if (connection && mConnections.contains(connection)) {
       connection->session->ResetStream(stream, NGHTTP2_CANCEL);
     }
+    Finish(aRequest, std::nullopt, code, "no response before the timeout");
   }
 
   void Finish(RequestId aRequest,
@@ -319,12 +338,14 @@
     mConnections.erase(it);
     Retire(aConnection);
     mLoop.Cancel(connection->timer);
-    const LinkError code = connection->connected ? aCode : LinkError::kNotSent;
     // The session may be on the call stack, so a later task runs the callbacks
     // and destroys it.
-    mLoop.Post([this, connection, code, aWhy] {
+    mLoop.Post([this, connection, aCode, aWhy] {
       for (const auto& [stream, id] : std::exchange(connection->requests, {})) {
-        Finish(id, std::nullopt, code, connection->address + ": " + aWhy);
+        Finish(id,
+               std::nullopt,
+               ErrorFor(*connection, stream, aCode),
+               connection->address + ": " + aWhy);
       }
     });
   }
--- a/src/nodes/LinkServer.cpp
+++ b/src/nodes/LinkServer.cpp
@@ -3,6 +3,7 @@
 #include "LinkSession.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -122,6 +123,13 @@
     }
   }
 
+  bool HasUnsentBytes() const
+  {
+    return std::ranges::any_of(mConnections, [](const auto& aItem) {
+      return aItem.second->session->HasUnsentBytes();
+    });
+  }
+
 private:
   static void OnAccept(evconnlistener*,
                        evutil_socket_t aSocket,
@@ -155,6 +163,7 @@
     request.path = std::move(stream->path);
     request.headers = std::move(stream->headers);
     request.body = std::move(stream->body);
+    request.begunAt = stream->begunAt;
     const auto owner = mConnections.at(&aConnection);
     const auto responder = std::make_shared<Responder>(owner, aStream);
     aConnection.responders[aStream] = responder;
@@ -216,4 +225,10 @@
   mImpl->GoAway();
 }
 
+bool
+LinkServer::HasUnsentBytes() const
+{
+  return mImpl->HasUnsentBytes();
+}
+
 } // namespace knapweedpaddle::nodes
--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -14,6 +14,12 @@
 constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
 constexpr std::uint32_t kMaxStreams = 4096;
 constexpr std::size_t kMaxHeaderCount = 512;
+/** No further frame is made while the socket's buffer holds this many bytes.
+ * Frames made later, such as a cancellation or a short request, then go ahead
+ * of the rest of a large body. */
+constexpr std::size_t kMaxBufferedBytes = 32UL * 1024;
+/** Frames are made again once the socket's buffer has drained to this. */
+constexpr std::size_t kLowBufferedBytes = 16UL * 1024;
 
 nghttp2_nv
 MakeField(const std::string& aName, const std::string& aValue)
@@ -57,7 +63,10 @@
   {
     auto& self = Self(aSelf);
     if (self.mRole == LinkSession::Role::kServer) {
-      self.mStreams.try_emplace(aFrame->hd.stream_id);
+      const auto [it, isNew] = self.mStreams.try_emplace(aFrame->hd.stream_id);
+      if (isNew) {
+        it->second.begunAt = std::chrono::steady_clock::now();
+      }
     }
     return 0;
   }
@@ -172,6 +181,7 @@
     stream->outgoingBodySent += n;
     if (stream->outgoingBodySent == stream->outgoingBody.size()) {
       *aFlags |= NGHTTP2_DATA_FLAG_EOF;
+      stream->outgoingEnded = true;
     }
     return static_cast<ssize_t>(n);
   }
@@ -197,6 +207,8 @@
     self.Flush();
   }
 
+  static void OnWritable(bufferevent*, void* aSelf) { Self(aSelf).Flush(); }
+
   static void OnEvent(bufferevent*, short aWhat, void* aSelf)
   {
     auto& self = Self(aSelf);
@@ -253,9 +265,10 @@
 
   bufferevent_setcb(mBuffer,
                     &LinkSessionCallbacks::OnReadable,
-                    nullptr,
+                    &LinkSessionCallbacks::OnWritable,
                     &LinkSessionCallbacks::OnEvent,
                     this);
+  bufferevent_setwatermark(mBuffer, EV_WRITE, kLowBufferedBytes, 0);
   bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
   Flush();
 }
@@ -334,6 +347,26 @@
   return it == mStreams.end() ? nullptr : &it->second;
 }
 
+bool
+LinkSession::MaySendWhole(std::int32_t aStream) const
+{
+  const auto it = mStreams.find(aStream);
+  return it == mStreams.end() || it->second.outgoingEnded;
+}
+
+bool
+LinkSession::HasUnsentBytes() const
+{
+  return !mFailed &&
+         (BufferedBytes() > 0 || nghttp2_session_want_write(mSession) != 0);
+}
+
+std::size_t
+LinkSession::BufferedBytes() const
+{
+  return evbuffer_get_length(bufferevent_get_output(mBuffer));
+}
+
 void
 LinkSession::Flush()
 {
@@ -346,7 +379,7 @@
   }
   mInsideNghttp2 = true;
   const std::uint8_t* data = nullptr;
-  while (true) {
+  while (BufferedBytes() < kMaxBufferedBytes) {
     const ssize_t size = nghttp2_session_mem_send(mSession, &data);
     if (size <= 0) {
       break;
@@ -354,7 +387,9 @@
     bufferevent_write(mBuffer, data, static_cast<std::size_t>(size));
   }
   mInsideNghttp2 = false;
-  if (!nghttp2_session_want_read(mSession) &&
+  // After a GOAWAY the client closes the connection: the server's last response
+  // may still be in its buffer.
+  if (mRole == Role::kClient && !nghttp2_session_want_read(mSession) &&
       !nghttp2_session_want_write(mSession)) {
     Fail("HTTP/2 session ended");
   }
--- a/src/nodes/LinkSession.h
+++ b/src/nodes/LinkSession.h
@@ -41,6 +41,9 @@
     std::string body;
     std::string outgoingBody;
     std::size_t outgoingBodySent = 0;
+    /** The end of the outgoing message was passed to the socket's buffer. */
+    bool outgoingEnded = false;
+    Timestamp begunAt{};   ///< when the headers began to arrive
     bool complete = false; ///< the whole message was received
     bool tooLarge = false; ///< reset as the body exceeds kMaxLinkBodyBytes
   };
@@ -80,10 +83,19 @@
   void SendGoAway();
   Stream* FindStream(std::int32_t aStream);
 
+  /** Returns true if the peer may get the whole message sent on a stream. It
+   * can't if this returns false and the stream or the session is ended now. */
+  bool MaySendWhole(std::int32_t aStream) const;
+
+  /** Returns true while bytes wait to be sent. */
+  bool HasUnsentBytes() const;
+
 private:
   friend struct LinkSessionCallbacks;
 
+  /** Sends frames until the socket's buffer is full enough. */
   void Flush();
+  std::size_t BufferedBytes() const;
   void Fail(const std::string& aWhy);
 
   Role mRole;
--- a/tests/backends/BackendDispatcherTest.cpp
+++ b/tests/backends/BackendDispatcherTest.cpp
@@ -239,3 +239,19 @@
   it.RunCallsFor(Milliseconds(1000));
   CHECK(it.ArrivalsFrom(from) <= 2 * kRate);
 }
+
+TEST_CASE("a stopping owner refuses calls of peers that might outlast it",
+          "[owner][stop]")
+{
+  Fixture it;
+  const Timestamp now = std::chrono::steady_clock::now();
+  it.dispatcher.BeginStop(StopWindow(now, Milliseconds(5000)));
+  it.Run(); // its deadline is in 5 s
+  it.RunLoopFor(Milliseconds(40));
+  CHECK(it.answered == 1);
+  CHECK(it.pending.empty());
+  it.dispatcher.BeginStop(StopWindow(now, Milliseconds(20'000)));
+  it.Run();
+  it.RunLoopFor(Milliseconds(40));
+  CHECK(it.pending.size() == 1);
+}
--- a/tests/callers/CallForwarderTest.cpp
+++ b/tests/callers/CallForwarderTest.cpp
@@ -23,7 +23,11 @@
     , journal(10)
     , links(loop, {})
     , server(loop,
-             [](const http::ExchangePtr& aExchange) {
+             [this](const http::ExchangePtr& aExchange) {
+               if (isSilent) {
+                 unanswered.push_back(aExchange);
+                 return;
+               }
                http::Response response;
                response.status = 200;
                aExchange->Respond(response);
@@ -90,6 +94,8 @@
   backends::BackendDispatcher dispatcher;
   CallForwarder forwarder;
   std::vector<CallResult> results;
+  bool isSilent = false; ///< the backend server answers no call
+  std::vector<http::ExchangePtr> unanswered;
 };
 
 } // namespace
@@ -149,3 +155,29 @@
   it.RunLoopFor(Milliseconds(50));
   CHECK(it.results.empty());
 }
+
+TEST_CASE("a stopping node refuses calls that might outlast it, and answers "
+          "those in progress before it exits",
+          "[calls][stop]")
+{
+  Fixture it;
+  it.isSilent = true;
+  it.forwarder.SetView(Fixture::View(true));
+  it.Call(Milliseconds(5000));
+  it.RunLoopFor(Milliseconds(50));
+  REQUIRE(it.unanswered.size() == 1);
+  it.forwarder.BeginStop(
+    StopWindow(std::chrono::steady_clock::now(), Milliseconds(3000)));
+  it.Call(Milliseconds(4000));
+  it.Call(Milliseconds(1000));
+  it.RunLoopFor(Milliseconds(50));
+  CHECK(it.unanswered.size() == 2);
+  REQUIRE(it.results.size() == 1);
+  CHECK(it.results[0].outcome == CallOutcome::kNotRun);
+  CHECK(it.results[0].retryAfter.has_value());
+  it.forwarder.EndAll("the node stops");
+  REQUIRE(it.results.size() == 3);
+  CHECK(it.results[1].outcome == CallOutcome::kUnknown);
+  CHECK(it.results[2].outcome == CallOutcome::kUnknown);
+  CHECK(it.forwarder.InFlight() == 0);
+}
--- a/tests/nodes/LinkTest.cpp
+++ b/tests/nodes/LinkTest.cpp
@@ -288,3 +288,133 @@
   CHECK_FALSE(DecodeCall(request, now, reason).has_value());
   CHECK_FALSE(DecodeCall(LinkRequest{}, now, reason).has_value());
 }
+
+namespace {
+
+/** Runs a loop until a condition holds. @return false after 3 s. */
+template<typename Condition>
+bool
+RunUntil(runtime::EventLoop& aLoop, Condition aCondition)
+{
+  bool satisfied = false;
+  const auto until = std::chrono::steady_clock::now() + Milliseconds(3000);
+  const auto timer = aLoop.RunEvery(Milliseconds(2), [&] {
+    satisfied = aCondition();
+    if (satisfied || std::chrono::steady_clock::now() > until) {
+      aLoop.Stop();
+    }
+  });
+  aLoop.Run();
+  aLoop.Cancel(timer);
+  return satisfied;
+}
+
+/** A peer that accepts connections and never reads from them. */
+class DeafPeer
+{
+public:
+  DeafPeer()
+  {
+    mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in bound = Loopback(0);
+    REQUIRE(
+      bind(mListener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
+    REQUIRE(listen(mListener, 4) == 0);
+    socklen_t size = sizeof(bound);
+    getsockname(mListener, reinterpret_cast<sockaddr*>(&bound), &size);
+    address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+  }
+
+  ~DeafPeer() { close(mListener); }
+  DeafPeer(const DeafPeer&) = delete;
+  DeafPeer& operator=(const DeafPeer&) = delete;
+
+  std::string address;
+
+private:
+  int mListener;
+};
+
+LinkRequest
+RequestWith(std::size_t aBodySize, Milliseconds aTimeout)
+{
+  LinkRequest request;
+  request.path = "/call";
+  request.body = std::string(aBodySize, 'b');
+  request.timeout = aTimeout;
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("a response that follows a GOAWAY arrives", "[links]")
+{
+  runtime::EventLoop loop;
+  std::vector<LinkResponderPtr> pending;
+  LinkServer server(
+    loop, [&](const LinkRequest&, const LinkResponderPtr& aResponder) {
+      pending.push_back(aResponder);
+    });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  LinkClient client(loop, {});
+  std::optional<LinkResponse> response;
+  bool ended = false;
+  client.Send("127.0.0.1:" + std::to_string(*port),
+              RequestWith(0, Milliseconds(2000)),
+              [&](std::optional<LinkResponse> aResponse, const LinkReason&) {
+                response = std::move(aResponse);
+                ended = true;
+              });
+  REQUIRE(RunUntil(loop, [&] { return pending.size() == 1; }));
+  server.GoAway();
+  const std::size_t bodySize = GENERATE(0, 5000, 2'000'000);
+  pending[0]->Respond({ 200, {}, std::string(bodySize, 'b') });
+  CHECK(RunUntil(loop, [&] { return ended; }));
+  REQUIRE(response);
+  CHECK(response->body.size() == bodySize);
+}
+
+TEST_CASE("a request that was not sent whole is reported as not sent",
+          "[links]")
+{
+  runtime::EventLoop loop;
+  const DeafPeer peer;
+  LinkClient client(loop, {});
+  std::vector<LinkError> errors;
+  const auto send = [&](std::size_t aBodySize) {
+    client.Send(peer.address,
+                RequestWith(aBodySize, Milliseconds(300)),
+                [&](const std::optional<LinkResponse>&,
+                    const LinkReason& aWhy) { errors.push_back(aWhy.code); });
+  };
+  // The peer's window for a stream is 64 KiB until its settings arrive.
+  send(1000);
+  CHECK(RunUntil(loop, [&] { return errors.size() == 1; }));
+  send(1'000'000);
+  CHECK(RunUntil(loop, [&] { return errors.size() == 2; }));
+  CHECK(errors == std::vector{ LinkError::kTimeout, LinkError::kNotSent });
+}
+
+TEST_CASE("a short request does not wait for a large body before it", "[links]")
+{
+  runtime::EventLoop loop;
+  std::vector<std::size_t> arrived; // body sizes
+  LinkServer server(
+    loop, [&](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
+      arrived.push_back(aRequest.body.size());
+      aResponder->Respond({ 200, {}, "" });
+    });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  LinkClient client(loop, {});
+  const std::string address = "127.0.0.1:" + std::to_string(*port);
+  const auto ignore = [](const std::optional<LinkResponse>&,
+                         const LinkReason&) {};
+  client.Send(address, RequestWith(0, Milliseconds(2000)), ignore);
+  REQUIRE(RunUntil(loop, [&] { return arrived.size() == 1; }));
+  client.Send(address, RequestWith(3'000'000, Milliseconds(3000)), ignore);
+  client.Send(address, RequestWith(10, Milliseconds(3000)), ignore);
+  CHECK(RunUntil(loop, [&] { return arrived.size() == 3; }));
+  CHECK(arrived == std::vector<std::size_t>{ 0, 10, 3'000'000 });
+}
