Let an owner accept the bodies of uploads before they are sent

Change: the body of a call above 4 KiB is held by its sender until the owner widens the stream's window (HTTP/2 flow control; the owner no longer does so by itself).

--- a/include/knapweedpaddle/backends/BackendDispatcher.h
+++ b/include/knapweedpaddle/backends/BackendDispatcher.h
@@ -121,6 +121,10 @@
    * whose answers said that it leaves is not accepted. */
   void SetBackend(std::optional<BackendServer> aBackend);
 
+  /** Returns why Run() would refuse a call now; empty if it would not. Asked
+   * before the body of a call is transferred. */
+  std::string CheckRefusal(const ForwardedCall& aCall);
+
   /** Identifies a call passed to Run(). */
   using RunId = std::uint64_t;
 
--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -94,6 +94,13 @@
                                    Timestamp aNow,
                                    SlotRefusal& aRefusal);
 
+  /**
+   * Returns the reason for which Request() would refuse a call now, apart from
+   * the rate limit, and records the refusal for the fairness between routes.
+   */
+  std::optional<SlotRefusal> CheckRefusal(const SlotRequest& aRequest,
+                                          Timestamp aNow);
+
   /**
    * Releases the slot of a call of the given class and grants slots to queued
    * calls.
--- a/include/knapweedpaddle/nodes/CallCodec.h
+++ b/include/knapweedpaddle/nodes/CallCodec.h
@@ -17,6 +17,26 @@
 LinkRequest
 EncodeCall(const backends::ForwardedCall& aCall, Timestamp aNow);
 
+/** A call whose body has not arrived. */
+struct CallHead
+{
+  backends::ForwardedCall call; ///< with an empty body
+  std::uint64_t bodySize = 0;   ///< in bytes
+};
+
+/**
+ * Decodes the headers of a call.
+ *
+ * @param aNow     time at which the headers arrived.
+ * @param aReason  set to the error if they can't be decoded.
+ * @return nothing if the protocol version differs or a header is missing or
+ *         invalid.
+ */
+std::optional<CallHead>
+DecodeCallHead(const LinkRequest& aRequest,
+               Timestamp aNow,
+               std::string& aReason);
+
 /**
  * Decodes a call.
  *
--- a/include/knapweedpaddle/nodes/Link.h
+++ b/include/knapweedpaddle/nodes/Link.h
@@ -3,6 +3,7 @@
 #include "knapweedpaddle/common/Reason.h"
 #include "knapweedpaddle/common/Time.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -65,4 +66,8 @@
 /** Maximum size of a request or response body. */
 inline constexpr std::size_t kMaxLinkBodyBytes = 16UL * 1024 * 1024;
 
+/** Size up to which a request's body is sent without waiting until the server
+ * accepts it. */
+inline constexpr std::uint32_t kFreeBodyBytes = 4 * 1024;
+
 } // namespace knapweedpaddle::nodes
--- a/include/knapweedpaddle/nodes/LinkServer.h
+++ b/include/knapweedpaddle/nodes/LinkServer.h
@@ -26,6 +26,9 @@
   /** Sends the response; only the first call has an effect. */
   virtual void Respond(const LinkResponse& aResponse) = 0;
 
+  /** Lets the peer send the whole body of its request. */
+  virtual void AcceptBody() = 0;
+
   /** Sets a task to run if the peer cancels the request or the connection ends
    * before the response. */
   virtual void OnCancel(std::function<void()> aTask) = 0;
@@ -43,7 +46,15 @@
 public:
   using Handler = std::function<void(LinkRequest, LinkResponderPtr)>;
 
-  LinkServer(runtime::EventLoop& aLoop, Handler aHandler);
+  /**
+   * @param aOnRequest  called with each whole request that has no response yet.
+   * @param aOnHeaders  called with the headers of a request before its body. It
+   * must accept the body or respond at some time, and the same responder is
+   * passed to aOnRequest. If empty, every body is accepted.
+   */
+  LinkServer(runtime::EventLoop& aLoop,
+             Handler aOnRequest,
+             Handler aOnHeaders = {});
   ~LinkServer();
   LinkServer(const LinkServer&) = delete;
   LinkServer& operator=(const LinkServer&) = delete;
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -109,6 +109,15 @@
     mSlots.SetSlots(mBackend ? mBackend->slots : 0);
   }
 
+  std::string CheckRefusal(const ForwardedCall& aCall)
+  {
+    if (std::string reason = CheckServer(aCall); !reason.empty()) {
+      return reason;
+    }
+    const auto refusal = mSlots.CheckRefusal(SlotRequestFor(0, aCall), Now());
+    return refusal ? std::string(NameOf(kSlotRefusalNames, *refusal)) : "";
+  }
+
   RunId Run(ForwardedCall aCall, callers::CallResultCallback aCallback)
   {
     const RunId id = ++mLastRun;
@@ -203,54 +212,52 @@
     return it == mRouteMs.end() ? mSlots.ServiceMs() : it->second;
   }
 
-  /** Requests a slot for a call if the backend server can run it. */
-  void Admit(RunId aRun)
+  /** Returns why the backend server can't run a call; empty if it can. */
+  std::string CheckServer(const ForwardedCall& aCall)
   {
-    const auto it = mPending.find(aRun);
-    if (it == mPending.end()) {
-      return;
-    }
-    PendingCall& pending = it->second;
-    const ForwardedCall& call = pending.call;
     if (!mBackend) {
-      Refuse(aRun, "no backend server is registered at this node");
-      return;
+      return "no backend server is registered at this node";
     }
-    if (!mStopWindow.Takes(Now(), call.deadline)) {
-      Refuse(aRun, "this node is stopping and may exit before the call ends");
-      return;
+    const Timestamp now = Now();
+    if (!mStopWindow.Takes(now, aCall.deadline)) {
+      return "this node is stopping and may exit before the call ends";
     }
-    if (Now() < mUnreachableUntil) {
-      Refuse(aRun, "the backend server of this node refuses connections");
-      return;
+    if (now < mUnreachableUntil) {
+      return "the backend server of this node refuses connections";
     }
-    if (!call.leavingServer.empty() &&
-        call.leavingServer == mBackend->StartName()) {
+    if (!aCall.leavingServer.empty() &&
+        aCall.leavingServer == mBackend->StartName()) {
       // This process registered the server by a report that was delayed.
       OnLeaving(BackendServer(*mBackend));
-      Refuse(aRun, "the backend server of this node is leaving");
-      return;
+      return "the backend server of this node is leaving";
     }
-    const auto selector = routing::VersionSelector::Parse(call.version);
-    if (mBackend->service != call.service ||
+    const auto selector = routing::VersionSelector::Parse(aCall.version);
+    if (mBackend->service != aCall.service ||
         !selector.Matches(mBackend->version)) {
-      Refuse(aRun,
-             "the backend server of this node is " + mBackend->service + " " +
-               mBackend->version + ", not " + call.service + " " +
-               call.version);
+      return "the backend server of this node is " + mBackend->service + " " +
+             mBackend->version + ", not " + aCall.service + " " + aCall.version;
+    }
+    return {};
+  }
+
+  SlotRequest SlotRequestFor(RunId aRun, const ForwardedCall& aCall) const
+  {
+    return { aRun,           aCall.callClass,     aCall.deadline,
+             aCall.priority, aCall.slowAfter,     aCall.targetDeadline,
+             aCall.route,    RouteMs(aCall.route) };
+  }
+
+  /** Requests a slot for a call if the backend server can run it. */
+  void Admit(RunId aRun)
+  {
+    const ForwardedCall& call = mPending.at(aRun).call;
+    if (std::string reason = CheckServer(call); !reason.empty()) {
+      Refuse(aRun, std::move(reason));
       return;
     }
     SlotRefusal refusal{};
-    const auto admission = mSlots.Request(SlotRequest{ aRun,
-                                                       call.callClass,
-                                                       call.deadline,
-                                                       call.priority,
-                                                       call.slowAfter,
-                                                       call.targetDeadline,
-                                                       call.route,
-                                                       RouteMs(call.route) },
-                                          Now(),
-                                          refusal);
+    const auto admission =
+      mSlots.Request(SlotRequestFor(aRun, call), Now(), refusal);
     if (!admission) {
       Refuse(aRun, std::string(NameOf(kSlotRefusalNames, refusal)));
       return;
@@ -644,6 +651,12 @@
   mImpl->SetBackend(std::move(aBackend));
 }
 
+std::string
+BackendDispatcher::CheckRefusal(const ForwardedCall& aCall)
+{
+  return mImpl->CheckRefusal(aCall);
+}
+
 BackendDispatcher::RunId
 BackendDispatcher::Run(ForwardedCall aCall,
                        callers::CallResultCallback aCallback)
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -103,6 +103,23 @@
   return Admission::kQueued;
 }
 
+std::optional<SlotRefusal>
+SlotQueue::CheckRefusal(const SlotRequest& aRequest, Timestamp aNow)
+{
+  if (mDraining) {
+    return SlotRefusal::kDraining;
+  }
+  if (HasSlotFor(aRequest.callClass)) {
+    return std::nullopt;
+  }
+  const bool isLate = IsLate(aRequest, aNow);
+  const auto refusal = RefusalFor(aRequest, isLate, aNow);
+  if (refusal && !isLate) {
+    mFairness.Record(aRequest.route, aRequest.priority, false, aNow);
+  }
+  return refusal;
+}
+
 void
 SlotQueue::Release(config::CallClass aClass,
                    std::optional<Milliseconds> aServiceTime,
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -30,6 +30,7 @@
 constexpr Milliseconds kLinkConnectTimeout{ 300 };
 constexpr Milliseconds kLinkPingInterval{ 500 };
 constexpr Milliseconds kLinkPingTimeout{ 700 };
+constexpr double kBytesPerMsPerMbps = 125;
 constexpr int kExitGraceful = 0;
 constexpr int kExitCallsLost = 1;
 constexpr int kExitNotStarted = 2;
@@ -75,6 +76,7 @@
   options.linkPort = aSettings.firstPort;
   options.callerAddress = aSettings.callerAddress;
   options.zone = aSettings.zone;
+  options.linkBytesPerMs = aSettings.linkMbps * kBytesPerMsPerMbps;
   options.callerDialect = aPlatform.callerDialect;
   options.backendDialect = aPlatform.backendDialect;
   options.links.connectTimeout = kLinkConnectTimeout;
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -43,10 +43,15 @@
                  mServices.journal },
                { mOptions.node, mOptions.zone },
                aRandomSeed)
-  , mServer(mServices.loop,
-            [this](LinkRequest aRequest, const LinkResponderPtr& aResponder) {
-              OnLinkRequest(std::move(aRequest), aResponder);
-            })
+  , mBodies(mDispatcher, mServices.metrics, mOptions.linkBytesPerMs)
+  , mServer(
+      mServices.loop,
+      [this](LinkRequest aRequest, const LinkResponderPtr& aResponder) {
+        OnLinkRequest(std::move(aRequest), aResponder);
+      },
+      [this](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
+        mBodies.OnHeaders(aRequest, aResponder);
+      })
   , mCallers(mServices.loop,
              mOptions.callerDialect,
              { [this](callers::CallRequest aRequest,
@@ -155,6 +160,7 @@
 TrafficPlane::OnTick()
 {
   CloseAfterPause();
+  mBodies.OnTick();
   const Timestamp now = std::chrono::steady_clock::now();
   mLongPauses.Tick(now);
   mShortPauses.Tick(now);
@@ -174,6 +180,7 @@
 TrafficPlane::OnLinkRequest(LinkRequest aRequest,
                             const LinkResponderPtr& aResponder)
 {
+  mBodies.OnEnded(aResponder.get());
   if (aRequest.path == nodes::kCallPath) {
     OnCall(std::move(aRequest), aResponder);
     return;
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BodyAdmission.h"
 #include "knapweedpaddle/backends/BackendDispatcher.h"
 #include "knapweedpaddle/callers/CallForwarder.h"
 #include "knapweedpaddle/callers/CallerServer.h"
@@ -50,6 +51,7 @@
     std::string callerAddress; ///< "IP:port" that callers connect to
     std::string zone;
     std::uint32_t checkSlots = 0; ///< slots kept for calls of class check
+    double linkBytesPerMs = 0; ///< rate of the VM's link; 0 if it is not known
     callers::CallerDialect callerDialect;
     backends::BackendDialect backendDialect;
     nodes::LinkClientOptions links;
@@ -114,6 +116,7 @@
   backends::BackendDispatcher mDispatcher;
   nodes::LinkClient mLinks;
   callers::CallForwarder mForwarder;
+  BodyAdmission mBodies;
   nodes::LinkServer mServer;
   callers::CallerServer mCallers;
   backends::EvidenceTable mReportedEvidence; ///< last passed to onEvidence
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -161,8 +161,10 @@
   return request;
 }
 
-std::optional<ForwardedCall>
-DecodeCall(LinkRequest aRequest, Timestamp aNow, std::string& aReason)
+std::optional<CallHead>
+DecodeCallHead(const LinkRequest& aRequest,
+               Timestamp aNow,
+               std::string& aReason)
 {
   const auto header = [&aRequest](const char* aName) {
     return HeaderValue(aRequest.headers, aName);
@@ -183,11 +185,9 @@
     aReason = "a required header of the call is missing or invalid";
     return std::nullopt;
   }
-  if (*length != aRequest.body.size()) {
-    aReason = "the call's body differs in size from its length header";
-    return std::nullopt;
-  }
-  ForwardedCall call;
+  CallHead head;
+  head.bodySize = *length;
+  ForwardedCall& call = head.call;
   call.callId = callId;
   call.service = header("service");
   call.version = header("version");
@@ -206,8 +206,22 @@
   call.method = header("method");
   call.path = header("target");
   call.headers = ExtractForwardedHeaders(aRequest.headers);
-  call.body = std::move(aRequest.body);
-  return call;
+  return head;
+}
+
+std::optional<ForwardedCall>
+DecodeCall(LinkRequest aRequest, Timestamp aNow, std::string& aReason)
+{
+  auto head = DecodeCallHead(aRequest, aNow, aReason);
+  if (!head) {
+    return std::nullopt;
+  }
+  if (head->bodySize != aRequest.body.size()) {
+    aReason = "the call's body differs in size from its length header";
+    return std::nullopt;
+  }
+  head->call.body = std::move(aRequest.body);
+  return std::move(head->call);
 }
 
 LinkResponse
--- a/src/nodes/LinkClient.cpp
+++ b/src/nodes/LinkClient.cpp
@@ -267,6 +267,10 @@
     LinkResponse response{ stream->status,
                            std::move(stream->headers),
                            std::move(stream->body) };
+    if (!aConnection.session->MaySendWhole(aStream)) {
+      // The peer responded without the rest of the body.
+      aConnection.session->ResetStream(aStream, NGHTTP2_CANCEL);
+    }
     Finish(id, std::move(response), LinkError::kBroken, "");
   }
 
--- a/src/nodes/LinkServer.cpp
+++ b/src/nodes/LinkServer.cpp
@@ -34,6 +34,8 @@
   {
     std::unique_ptr<LinkSession> session;
     std::unordered_map<std::int32_t, std::weak_ptr<Responder>> responders;
+    /** Responders of requests whose body has not arrived whole. */
+    std::unordered_map<std::int32_t, std::shared_ptr<Responder>> awaitingBody;
   };
 
   class Responder : public LinkResponder
@@ -55,6 +57,15 @@
       }
     }
 
+    void AcceptBody() override
+    {
+      if (const auto connection = mConnection.lock()) {
+        connection->session->AcceptBody(mStream);
+      }
+    }
+
+    bool IsAnswered() const { return mAnswered; }
+
     void OnCancel(std::function<void()> aTask) override
     {
       mOnCancel = std::move(aTask);
@@ -75,9 +86,10 @@
     std::function<void()> mOnCancel;
   };
 
-  Impl(runtime::EventLoop& aLoop, Handler aHandler)
+  Impl(runtime::EventLoop& aLoop, Handler aOnRequest, Handler aOnHeaders)
     : mLoop(aLoop)
-    , mHandler(std::move(aHandler))
+    , mOnRequest(std::move(aOnRequest))
+    , mOnHeaders(std::move(aOnHeaders))
   {
   }
 
@@ -144,6 +156,9 @@
     auto connection = std::make_shared<Connection>();
     Connection* raw = connection.get();
     LinkSession::Handler handler;
+    handler.onHeaders = [self, raw](std::int32_t aStream) {
+      self->OnHeaders(*raw, aStream);
+    };
     handler.onMessage = [self, raw](std::int32_t aStream) {
       self->OnRequest(*raw, aStream);
     };
@@ -156,18 +171,52 @@
     self->mConnections.emplace(raw, std::move(connection));
   }
 
+  void OnHeaders(Connection& aConnection, std::int32_t aStream)
+  {
+    if (!mOnHeaders) {
+      aConnection.session->AcceptBody(aStream);
+      return;
+    }
+    const LinkSession::Stream* stream =
+      aConnection.session->FindStream(aStream);
+    LinkRequest request;
+    request.path = stream->path;
+    request.headers = stream->headers;
+    request.begunAt = stream->begunAt;
+    const auto responder = MakeResponder(aConnection, aStream);
+    aConnection.awaitingBody[aStream] = responder;
+    mOnHeaders(std::move(request), responder);
+  }
+
+  std::shared_ptr<Responder> MakeResponder(Connection& aConnection,
+                                           std::int32_t aStream)
+  {
+    const auto responder =
+      std::make_shared<Responder>(mConnections.at(&aConnection), aStream);
+    aConnection.responders[aStream] = responder;
+    return responder;
+  }
+
   void OnRequest(Connection& aConnection, std::int32_t aStream)
   {
+    std::shared_ptr<Responder> responder;
+    if (const auto it = aConnection.awaitingBody.find(aStream);
+        it != aConnection.awaitingBody.end()) {
+      responder = it->second;
+      aConnection.awaitingBody.erase(it);
+      if (responder->IsAnswered()) {
+        return;
+      }
+    } else {
+      responder = MakeResponder(aConnection, aStream);
+    }
     LinkSession::Stream* stream = aConnection.session->FindStream(aStream);
     LinkRequest request;
     request.path = std::move(stream->path);
     request.headers = std::move(stream->headers);
     request.body = std::move(stream->body);
     request.begunAt = stream->begunAt;
-    const auto owner = mConnections.at(&aConnection);
-    const auto responder = std::make_shared<Responder>(owner, aStream);
-    aConnection.responders[aStream] = responder;
-    mHandler(std::move(request), responder);
+    mOnRequest(std::move(request), responder);
   }
 
   void CancelStream(Connection& aConnection, std::int32_t aStream)
@@ -178,6 +227,7 @@
     }
     const auto responder = it->second.lock();
     aConnection.responders.erase(it);
+    aConnection.awaitingBody.erase(aStream);
     if (responder) {
       responder->Cancel();
     }
@@ -197,17 +247,23 @@
         responder->Cancel();
       }
     }
+    connection->awaitingBody.clear();
     mLoop.Post([connection] {});
   }
 
   runtime::EventLoop& mLoop;
-  Handler mHandler;
+  Handler mOnRequest;
+  Handler mOnHeaders;
   evconnlistener* mListener = nullptr;
   std::unordered_map<Connection*, std::shared_ptr<Connection>> mConnections;
 };
 
-LinkServer::LinkServer(runtime::EventLoop& aLoop, Handler aHandler)
-  : mImpl(std::make_unique<Impl>(aLoop, std::move(aHandler)))
+LinkServer::LinkServer(runtime::EventLoop& aLoop,
+                       Handler aOnRequest,
+                       Handler aOnHeaders)
+  : mImpl(std::make_unique<Impl>(aLoop,
+                                 std::move(aOnRequest),
+                                 std::move(aOnHeaders)))
 {
 }
 
--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::int32_t kWindowBytes = 4 * 1024 * 1024;
+constexpr std::uint32_t kWindowBytes = 4 * 1024 * 1024;
 constexpr std::uint32_t kMaxStreams = 4096;
 constexpr std::size_t kMaxHeaderCount = 512;
 /** No further frame is made while the socket's buffer holds this many bytes.
@@ -115,6 +115,11 @@
       return 0;
     }
     stream->body.append(reinterpret_cast<const char*>(aData), aSize);
+    if (Self(aSelf).mRole == LinkSession::Role::kServer) {
+      // Only the stream's own window, which AcceptBody() widens, holds a body
+      // back.
+      nghttp2_session_consume_connection(aSession, aSize);
+    }
     return 0;
   }
 
@@ -131,8 +136,14 @@
             stream && (aFrame->hd.flags & NGHTTP2_FLAG_END_STREAM)) {
           stream->complete = true;
           self.mHandler.onMessage(aFrame->hd.stream_id);
+        } else if (stream && aFrame->hd.type == NGHTTP2_HEADERS &&
+                   self.mHandler.onHeaders) {
+          self.mHandler.onHeaders(aFrame->hd.stream_id);
         }
         break;
+      case NGHTTP2_WINDOW_UPDATE:
+        self.OnBodyAccepted(aFrame->hd.stream_id);
+        break;
       case NGHTTP2_PING:
         if ((aFrame->hd.flags & NGHTTP2_FLAG_ACK) && self.mHandler.onPong) {
           self.mHandler.onPong();
@@ -174,6 +185,9 @@
     if (!stream) {
       return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     }
+    if (!stream->outgoingBodyAccepted) {
+      return NGHTTP2_ERR_DEFERRED;
+    }
     const std::size_t n =
       std::min(aLength, stream->outgoingBody.size() - stream->outgoingBodySent);
     std::copy_n(
@@ -247,16 +261,21 @@
     callbacks, &LinkSessionCallbacks::OnFrame);
   nghttp2_session_callbacks_set_on_stream_close_callback(
     callbacks, &LinkSessionCallbacks::OnStreamClose);
+  nghttp2_option* options = nullptr;
+  nghttp2_option_new(&options);
   if (aRole == Role::kServer) {
-    nghttp2_session_server_new(&mSession, callbacks, this);
+    nghttp2_option_set_no_auto_window_update(options, 1);
+    nghttp2_session_server_new2(&mSession, callbacks, this, options);
   } else {
-    nghttp2_session_client_new(&mSession, callbacks, this);
+    nghttp2_session_client_new2(&mSession, callbacks, this, options);
   }
+  nghttp2_option_del(options);
   nghttp2_session_callbacks_del(callbacks);
 
   const std::array<nghttp2_settings_entry, 2> settings{ {
     { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams },
-    { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kWindowBytes },
+    { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+      aRole == Role::kServer ? kFreeBodyBytes : kWindowBytes },
   } };
   nghttp2_submit_settings(
     mSession, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
@@ -294,7 +313,9 @@
   if (stream < 0) {
     return -1;
   }
-  mStreams[stream].outgoingBody = aRequest.body;
+  Stream& state = mStreams[stream];
+  state.outgoingBody = aRequest.body;
+  state.outgoingBodyAccepted = aRequest.body.size() <= kFreeBodyBytes;
   Flush();
   return stream;
 }
@@ -317,6 +338,26 @@
   Flush();
 }
 
+void
+LinkSession::AcceptBody(std::int32_t aStream)
+{
+  if (!mFailed && FindStream(aStream)) {
+    nghttp2_session_set_local_window_size(
+      mSession, NGHTTP2_FLAG_NONE, aStream, kMaxLinkBodyBytes);
+    Flush();
+  }
+}
+
+void
+LinkSession::OnBodyAccepted(std::int32_t aStream)
+{
+  if (Stream* stream = FindStream(aStream);
+      stream && !stream->outgoingBodyAccepted) {
+    stream->outgoingBodyAccepted = true;
+    nghttp2_session_resume_data(mSession, aStream);
+  }
+}
+
 void
 LinkSession::ResetStream(std::int32_t aStream, std::uint32_t aErrorCode)
 {
--- a/src/nodes/LinkSession.h
+++ b/src/nodes/LinkSession.h
@@ -41,6 +41,8 @@
     std::string body;
     std::string outgoingBody;
     std::size_t outgoingBodySent = 0;
+    /** The peer waits for the outgoing body; a large one is held until then. */
+    bool outgoingBodyAccepted = true;
     /** The end of the outgoing message was passed to the socket's buffer. */
     bool outgoingEnded = false;
     Timestamp begunAt{};   ///< when the headers began to arrive
@@ -48,9 +50,14 @@
     bool tooLarge = false; ///< reset as the body exceeds kMaxLinkBodyBytes
   };
 
-  /** Callbacks of a session; onConnected, onPong and onGoAway are optional. */
+  /** Callbacks of a session; onConnected, onPong, onGoAway and onHeaders are
+   * optional. */
   struct Handler
   {
+    /** The headers of a message were received, and its body follows. The body
+     * of a request does not arrive before AcceptBody() if it is larger than
+     * kFreeBodyBytes. */
+    std::function<void(std::int32_t aStream)> onHeaders;
     /** A whole message was received. */
     std::function<void(std::int32_t aStream)> onMessage;
     /** A stream was closed, with an HTTP/2 error code. */
@@ -78,6 +85,9 @@
   /** Sends the response on a stream of a server session. */
   void SubmitResponse(std::int32_t aStream, const LinkResponse& aResponse);
 
+  /** Lets the peer send the whole body of a request. */
+  void AcceptBody(std::int32_t aStream);
+
   void ResetStream(std::int32_t aStream, std::uint32_t aErrorCode);
   void SendPing();
   void SendGoAway();
@@ -96,6 +106,8 @@
   /** Sends frames until the socket's buffer is full enough. */
   void Flush();
   std::size_t BufferedBytes() const;
+  /** Handles a wider window of a stream: the peer accepts the stream's body. */
+  void OnBodyAccepted(std::int32_t aStream);
   void Fail(const std::string& aWhy);
 
   Role mRole;
--- a/tests/nodes/LinkTest.cpp
+++ b/tests/nodes/LinkTest.cpp
@@ -396,6 +396,63 @@
   CHECK(errors == std::vector{ LinkError::kTimeout, LinkError::kNotSent });
 }
 
+TEST_CASE("a large body is sent only once the server accepts it", "[links]")
+{
+  runtime::EventLoop loop;
+  std::vector<LinkResponderPtr> heads;
+  std::vector<std::size_t> bodies; // sizes of those that arrived
+  LinkServer server(
+    loop,
+    [&](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
+      bodies.push_back(aRequest.body.size());
+      aResponder->Respond({ 200, {}, "whole" });
+    },
+    [&](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
+      CHECK(aRequest.body.empty());
+      heads.push_back(aResponder);
+    });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  LinkClient client(loop, {});
+  const std::string address = "127.0.0.1:" + std::to_string(*port);
+  std::vector<std::string> responses;
+  std::vector<LinkError> errors;
+  const auto send = [&](std::size_t aBodySize, Milliseconds aTimeout) {
+    client.Send(
+      address,
+      RequestWith(aBodySize, aTimeout),
+      [&](std::optional<LinkResponse> aResponse, const LinkReason& aWhy) {
+        if (aResponse) {
+          responses.push_back(aResponse->body);
+        } else {
+          errors.push_back(aWhy.code);
+        }
+      });
+  };
+  for (int n = 0; n < 3; ++n) {
+    send(360'000, Milliseconds(2000));
+  }
+  send(360'000, Milliseconds(300));
+  REQUIRE(RunUntil(loop, [&] { return heads.size() == 4; }));
+  CHECK(bodies.empty());
+  heads[0]->AcceptBody();
+  REQUIRE(RunUntil(loop, [&] { return responses.size() == 1; }));
+  CHECK(bodies == std::vector<std::size_t>{ 360'000 });
+  // A refusal needs no body, and ends the request.
+  heads[1]->Respond({ 503, {}, "refused" });
+  REQUIRE(RunUntil(loop, [&] { return responses.size() == 2; }));
+  CHECK(responses[1] == "refused");
+  // A connection that carries a refused request carries others as well.
+  send(100, Milliseconds(2000));
+  REQUIRE(RunUntil(loop, [&] { return responses.size() == 3; }));
+  // Without the server's word the request has certainly not run.
+  REQUIRE(RunUntil(loop, [&] { return errors.size() == 1; }));
+  CHECK(errors[0] == LinkError::kNotSent);
+  heads[2]->AcceptBody();
+  REQUIRE(RunUntil(loop, [&] { return responses.size() == 4; }));
+  CHECK(bodies == std::vector<std::size_t>{ 360'000, 100, 360'000 });
+}
+
 TEST_CASE("a short request does not wait for a large body before it", "[links]")
 {
   runtime::EventLoop loop;
