Accept catalogue changes after a restore; read log values alike on arm64

arm64: TakeValue() changed a position in one argument of substr() and used it in the next; the order is unspecified, and differs between the two machines. RequestLogTest failed here (2 cases) and passes.

--- a/include/knapweedpaddle/operators/ChangeAcceptor.h
+++ b/include/knapweedpaddle/operators/ChangeAcceptor.h
@@ -75,6 +75,13 @@
 
   /** Reads the newest version and catches up with it before Prepare(). */
   void Begin(const PendingChangePtr& aPending);
+  /** Reads the catalogue of a store that was restored to an earlier version
+   * than this node holds, before Prepare(). */
+  void ReadRestoredCatalogue(const PendingChangePtr& aPending,
+                             std::uint64_t aVersion);
+  /** Finishes a change for which a version could not be read. */
+  static void FinishUnread(const PendingChangePtr& aPending,
+                           std::uint64_t aVersion);
   /** Validates the change against the newest version and commits it. */
   void Prepare(const PendingChangePtr& aPending);
   bool CheckEntries(PendingChange& aPending, const config::Snapshot& aBase);
--- a/include/knapweedpaddle/store/CatalogueReader.h
+++ b/include/knapweedpaddle/store/CatalogueReader.h
@@ -37,7 +37,10 @@
   void CatchUp(std::uint64_t aVersion, DoneCallback aCallback);
 
 private:
-  void FetchChanges(std::uint64_t aVersion, DoneCallback aCallback);
+  /** @param aAfterSnapshot  a snapshot was read, if there is a newer one. */
+  void FetchChanges(std::uint64_t aVersion,
+                    bool aAfterSnapshot,
+                    DoneCallback aCallback);
   void FetchSnapshot(std::uint64_t aVersion, const DoneCallback& aCallback);
   bool ApplySnapshot(const std::string& aBody);
 
--- a/src/operators/ChangeAcceptor.cpp
+++ b/src/operators/ChangeAcceptor.cpp
@@ -46,6 +46,10 @@
   /** Revision that the head row must still have at the commit. */
   std::uint64_t headRevision = 0;
   Change change;
+  /** The catalogue in a restored store that lost the newest versions; else
+   * null. */
+  config::SnapshotPtr restoredBase;
+  Snapshot candidate;          ///< the catalogue after the change
   bool mayHaveWritten = false; ///< whether a commit got no answer
 };
 
@@ -82,10 +86,12 @@
            "too many concurrent changes to the catalogue");
     return;
   }
+  aPending->restoredBase = nullptr;
   mPlatform.Read(
     { store::OperationKey(aPending->request.operationId), store::kHeadKey },
-    [this, aPending](const std::optional<std::vector<Row>>& aRows,
-                     const StoreReason& aReason) {
+    [this, aPending, ownVersion = mStore.Version()](
+      const std::optional<std::vector<Row>>& aRows,
+      const StoreReason& aReason) {
       if (!aRows || aRows->size() != 2) {
         Finish(aPending,
                aPending->mayHaveWritten ? AcceptOutcome::kUnknown
@@ -102,21 +108,62 @@
       }
       aPending->headRevision = head.revision;
       const std::uint64_t version = store::VersionOf(head).value_or(0);
+      if (version < ownVersion) {
+        // Nodes keep the newer version that the store lost, so the change
+        // becomes the version after that one.
+        aPending->change.version = ownVersion + 1;
+        ReadRestoredCatalogue(aPending, version);
+        return;
+      }
       aPending->change.version = version + 1;
       mReader.CatchUp(version, [this, aPending, version](bool aReached) {
-        if (!aReached) {
-          Finish(aPending,
-                 aPending->mayHaveWritten ? AcceptOutcome::kUnknown
-                                          : AcceptOutcome::kUnavailable,
-                 "version " + std::to_string(version) +
-                   " of the catalogue can't be read from the platform");
-          return;
+        if (aReached) {
+          Prepare(aPending);
+        } else {
+          FinishUnread(aPending, version);
         }
-        Prepare(aPending);
       });
     });
 }
 
+void
+ChangeAcceptor::ReadRestoredCatalogue(const PendingChangePtr& aPending,
+                                      std::uint64_t aVersion)
+{
+  struct Catalogue
+  {
+    explicit Catalogue(store::StoreClient& aPlatform)
+      : content(0)
+      , reader(aPlatform, content, [] {})
+    {
+    }
+
+    config::ConfigStore content;
+    store::CatalogueReader reader;
+  };
+  const auto catalogue = std::make_shared<Catalogue>(mPlatform);
+  catalogue->reader.CatchUp(
+    aVersion, [this, aPending, aVersion, catalogue](bool aReached) {
+      if (aReached) {
+        aPending->restoredBase = catalogue->content.Current();
+        Prepare(aPending);
+      } else {
+        FinishUnread(aPending, aVersion);
+      }
+    });
+}
+
+void
+ChangeAcceptor::FinishUnread(const PendingChangePtr& aPending,
+                             std::uint64_t aVersion)
+{
+  Finish(aPending,
+         aPending->mayHaveWritten ? AcceptOutcome::kUnknown
+                                  : AcceptOutcome::kUnavailable,
+         "version " + std::to_string(aVersion) +
+           " of the catalogue can't be read from the platform");
+}
+
 void
 ChangeAcceptor::Prepare(const PendingChangePtr& aPending)
 {
@@ -124,7 +171,9 @@
     Begin(aPending); // Another change was applied since the head was read.
     return;
   }
-  const config::SnapshotPtr base = mStore.Current();
+  const config::SnapshotPtr current = mStore.Current();
+  const config::SnapshotPtr base =
+    aPending->restoredBase ? aPending->restoredBase : current;
   if (!CheckEntries(*aPending, *base)) {
     return;
   }
@@ -138,14 +187,39 @@
   for (const auto& it : aPending->request.removals) {
     change.removals.push_back(it.id);
   }
-  const Snapshot candidate = config::ApplyChange(*base, change);
+  if (aPending->restoredBase) {
+    // The change also undoes what the store lost, for the nodes that hold it.
+    Change whole =
+      config::Difference(*current, config::ApplyChange(*base, change));
+    change.upserts = std::move(whole.upserts);
+    change.removals = std::move(whole.removals);
+  }
+  Snapshot& candidate = aPending->candidate;
+  candidate = config::ApplyChange(*current, change);
   config::ConfigReason reason;
   if (!config::Validate(candidate, reason)) {
     Finish(aPending, AcceptOutcome::kRefused, reason.message);
     return;
   }
   change.digest = candidate.Digest();
-  Commit(aPending);
+  if (!aPending->restoredBase) {
+    Commit(aPending);
+    return;
+  }
+  // Nodes that start later find no change rows for the lost versions.
+  mPlatform.PutObject(store::SnapshotObjectName(change.version),
+                      EncodeSnapshot(candidate),
+                      [this, aPending](bool aDone, const StoreReason& aReason) {
+                        if (aDone) {
+                          Commit(aPending);
+                        } else {
+                          Finish(aPending,
+                                 aPending->mayHaveWritten
+                                   ? AcceptOutcome::kUnknown
+                                   : AcceptOutcome::kUnavailable,
+                                 aReason.message);
+                        }
+                      });
 }
 
 bool
@@ -209,6 +283,9 @@
     { store::ChangeKey(change.version), EncodeChange(change), false },
     { operationKey, version, false }
   };
+  if (aPending->restoredBase) {
+    transaction.writes.push_back({ store::kSnapshotKey, version, false });
+  }
   mPlatform.Commit(std::move(transaction),
                    [this, aPending](bool aDone, const StoreReason& aReason) {
                      if (aDone) {
--- a/src/store/CatalogueReader.cpp
+++ b/src/store/CatalogueReader.cpp
@@ -47,17 +47,19 @@
     FetchSnapshot(aVersion, aCallback);
     return;
   }
-  FetchChanges(aVersion, std::move(aCallback));
+  FetchChanges(aVersion, false, std::move(aCallback));
 }
 
 void
-CatalogueReader::FetchChanges(std::uint64_t aVersion, DoneCallback aCallback)
+CatalogueReader::FetchChanges(std::uint64_t aVersion,
+                              bool aAfterSnapshot,
+                              DoneCallback aCallback)
 {
   mPlatform.ReadRange(
     kChangePrefix,
     ChangeKey(mConfigStore.Version() + 1),
     kMaxChangesBehind,
-    [this, aVersion, callback = std::move(aCallback)](
+    [this, aVersion, aAfterSnapshot, callback = std::move(aCallback)](
       const std::optional<std::vector<Row>>& aRows, const StoreReason&) {
       if (!aRows) {
         callback(false);
@@ -73,12 +75,16 @@
       if (mConfigStore.Version() != before) {
         mOnChanged();
       }
-      if (mConfigStore.Version() >= aVersion ||
-          mConfigStore.Version() == before) {
-        callback(mConfigStore.Version() >= aVersion);
-        return;
+      if (mConfigStore.Version() >= aVersion) {
+        callback(true);
+      } else if (mConfigStore.Version() != before) {
+        CatchUp(aVersion, callback);
+      } else if (aAfterSnapshot) {
+        callback(false);
+      } else {
+        // A restored store may lack the rows of some changes.
+        FetchSnapshot(aVersion, callback);
       }
-      CatchUp(aVersion, callback);
     });
 }
 
@@ -92,7 +98,7 @@
       if (aBody && ApplySnapshot(*aBody)) {
         mOnChanged();
       }
-      FetchChanges(aVersion, aCallback);
+      FetchChanges(aVersion, true, aCallback);
     };
   mPlatform.Read(
     { kSnapshotKey },
@@ -104,7 +110,7 @@
       }
       const auto version = VersionOf(aRows->front()).value_or(0);
       if (version <= mConfigStore.Version()) {
-        FetchChanges(aVersion, aCallback);
+        FetchChanges(aVersion, true, aCallback);
         return;
       }
       mPlatform.GetObject(SnapshotObjectName(version), onBody);
--- a/src/telemetry/RequestLog.cpp
+++ b/src/telemetry/RequestLog.cpp
@@ -24,8 +24,9 @@
 TakeValue(const std::string& aText, std::size_t& aPosition)
 {
   if (aPosition >= aText.size() || aText[aPosition] != '"') {
-    const std::size_t end = std::min(aText.find(' ', aPosition), aText.size());
-    return aText.substr(std::exchange(aPosition, end), end - aPosition);
+    const std::size_t begin = aPosition;
+    aPosition = std::min(aText.find(' ', begin), aText.size());
+    return aText.substr(begin, aPosition - begin);
   }
   std::string value;
   for (++aPosition; aPosition < aText.size() && aText[aPosition] != '"';
