Use the server of a stopping node until it announces its stop

Change: readiness ends with SIGTERM as before; peers are told a second before the node takes no more calls. StopWindow keeps calls from outlasting the process.

Test: FleetTest "the server of a stopping node gets calls until the node leaves".

--- a/include/knapweedpaddle/common/StopWindow.h
+++ b/include/knapweedpaddle/common/StopWindow.h
@@ -41,6 +41,10 @@
   /** Returns true while some calls may be taken. */
   bool IsOpen(Timestamp aNow) const { return aNow < mTakesUntil; }
 
+  /** Returns when peers are told of the stop. They send calls until then, since
+   * the slots of the backend server would be unused otherwise. */
+  Timestamp AnnouncesAt() const { return mTakesUntil - kAnnounceTime; }
+
   /** Returns when the process exits at the latest. */
   Timestamp EndsAt() const { return mEndsAt; }
 
@@ -48,6 +52,8 @@
   /** Callers are sent elsewhere after two failed readiness checks, which are a
    * second apart. */
   static constexpr Milliseconds kMaxTakeTime{ 2500 };
+  /** Time in which peers hear of the stop. */
+  static constexpr Milliseconds kAnnounceTime{ 1000 };
   /** Part of the grace period in which the process exits. */
   static constexpr Milliseconds kExitMargin{ 400 };
   /** Time to send the answer of a call that ends at its deadline. */
--- a/include/knapweedpaddle/node/FleetCore.h
+++ b/include/knapweedpaddle/node/FleetCore.h
@@ -87,11 +87,14 @@
   /** Reads the store and contacts peers again after a pause of the process. */
   void OnPause();
 
+  /** Sends this node's callers to other nodes: it is no longer ready. */
+  void BeginStop() { mStopping = true; }
+
   /** Notifies peers that this node leaves, and removes its row in the store. */
   void Leave();
 
   /** True while callers may send calls to this node. */
-  bool IsReady() const { return mConfig.HasConfig() && !mLeaving; }
+  bool IsReady() const { return mConfig.HasConfig() && !mStopping; }
 
   const ConfigFollower& Config() const { return mConfig; }
   const nodes::Membership& Members() const { return mMemberAgent.Members(); }
@@ -115,6 +118,7 @@
   /** Membership::ChangeCount() when the view was last published. */
   std::uint64_t mPublishedMemberChanges = 0;
   bool mIsViewOutdated = true;
+  bool mStopping = false;
   bool mLeaving = false;
 };
 
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -357,7 +357,10 @@
     mStopWindow = StopWindow(mControlLoop.Now(), mSettings.gracePeriod);
     LogCoreEvent("stopping", "");
     mTraffic.BeginStop(mStopWindow);
-    mCore.Leave();
+    mCore.BeginStop();
+    mControlLoop.RunAfter(std::chrono::duration_cast<Milliseconds>(
+                            mStopWindow.AnnouncesAt() - mControlLoop.Now()),
+                          [this] { mCore.Leave(); });
     PollInFlight();
   }
 
--- a/tests/common/StopWindowTest.cpp
+++ b/tests/common/StopWindowTest.cpp
@@ -26,6 +26,7 @@
   const Milliseconds grace = GENERATE(as<Milliseconds>(), 1000, 6000, 10'000);
   const StopWindow window(kSignalAt, grace);
   CHECK(window.EndsAt() < kSignalAt + grace);
+  CHECK(window.IsOpen(window.AnnouncesAt()));
   for (Milliseconds after(0); after < grace; after += Milliseconds(50)) {
     const Timestamp now = kSignalAt + after;
     for (Milliseconds left(1); left < 2 * grace; left += Milliseconds(50)) {
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -94,6 +94,32 @@
   }
 }
 
+// Guards against idle slots: a stopping node sends its callers away at once, but
+// peers use its backend server until it announces the stop.
+TEST_CASE("the server of a stopping node gets calls until the node leaves",
+          "[fleet][stop]")
+{
+  const auto fleet = SettledFleet(1);
+  FakeFleet::NodeState& stopping = fleet->nodes[2];
+  const auto targets = [&] {
+    std::size_t count = 0;
+    for (const auto& [service, list] : fleet->nodes[0].view->targets) {
+      count += static_cast<std::size_t>(std::ranges::count(
+        list, stopping.core->Members().Self().node, &routing::Target::node));
+    }
+    return count;
+  };
+  REQUIRE(stopping.core->IsReady());
+  REQUIRE(targets() == 1);
+  stopping.core->BeginStop();
+  fleet->clock.RunFor(Milliseconds(1000));
+  CHECK_FALSE(stopping.core->IsReady());
+  CHECK(targets() == 1);
+  stopping.core->Leave();
+  fleet->clock.RunFor(Milliseconds(1000));
+  CHECK(targets() == 0);
+}
+
 // Guards against a node that goes back to an older version when several writes
 // are on their way to it at once by different paths, and nodes restart.
 TEST_CASE("many writes in a row end with the newest version, and no node goes "
