--- a/src/nodes/LinkServer.cpp
+++ b/src/nodes/LinkServer.cpp
@@ -191,7 +191,7 @@
   std::shared_ptr<Responder> MakeResponder(Connection& aConnection,
                                            std::int32_t aStream)
   {
-    const auto responder =
+    auto responder =
       std::make_shared<Responder>(mConnections.at(&aConnection), aStream);
     aConnection.responders[aStream] = responder;
     return responder;
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -94,8 +94,8 @@
   }
 }
 
-// Guards against idle slots: a stopping node sends its callers away at once, but
-// peers use its backend server until it announces the stop.
+// Guards against idle slots: a stopping node sends its callers away at once,
+// but peers use its backend server until it announces the stop.
 TEST_CASE("the server of a stopping node gets calls until the node leaves",
           "[fleet][stop]")
 {
