--- a/src/node/BodyAdmission.cpp
+++ b/src/node/BodyAdmission.cpp
@@ -1,17 +1,30 @@
 #include "BodyAdmission.h"
 
+#include "knapweedpaddle/http/Message.h"
+#include "knapweedpaddle/telemetry/Log.h"
+
 namespace knapweedpaddle::node {
 
 using nodes::LinkRequest;
 using nodes::LinkResponder;
 using nodes::LinkResponderPtr;
 
+namespace {
+
+constexpr double kLogLinesPerSecond = 20;
+constexpr double kLogBurst = 100;
+
+} // namespace
+
 BodyAdmission::BodyAdmission(backends::BackendDispatcher& aDispatcher,
                              telemetry::Metrics& aMetrics,
+                             std::string aIdHeader,
                              double aLinkBytesPerMs)
   : mDispatcher(aDispatcher)
   , mMetrics(aMetrics)
+  , mIdHeader(std::move(aIdHeader))
   , mGate(aLinkBytesPerMs)
+  , mLogLimiter(kLogLinesPerSecond, kLogBurst)
 {
 }
 
@@ -31,7 +44,7 @@
   }
   const backends::ForwardedCall& call = head->call;
   if (reason = mDispatcher.CheckRefusal(call); !reason.empty()) {
-    Refuse(aResponder, call.callId, call.route, reason);
+    Refuse(*aResponder, *head, reason);
     return;
   }
   const Timestamp now = std::chrono::steady_clock::now();
@@ -42,13 +55,12 @@
                                      static_cast<double>(
                                        mDispatcher.Load(call.route).routeMs) };
   if (const auto refusal = mGate.Add(transfer, now)) {
-    Refuse(aResponder,
-           call.callId,
-           call.route,
+    Refuse(*aResponder,
+           *head,
            std::string(NameOf(backends::kTransferRefusalNames, *refusal)));
     return;
   }
-  mTransfers[transfer.id] = { aResponder, call.callId, call.route };
+  mTransfers[transfer.id] = { aResponder, *head };
   mIds[aResponder.get()] = transfer.id;
   aResponder->OnCancel([this, raw = aResponder.get()] { OnEnded(raw); });
   GrantTransfers();
@@ -71,13 +83,12 @@
 BodyAdmission::OnTick()
 {
   for (const auto id : mGate.TakeExpired(std::chrono::steady_clock::now())) {
-    const Waiting waiting = mTransfers.at(id);
+    const Waiting waiting = std::move(mTransfers.at(id));
     mTransfers.erase(id);
     if (const auto responder = waiting.responder.lock()) {
       mIds.erase(responder.get());
-      Refuse(responder,
-             waiting.callId,
-             waiting.route,
+      Refuse(*responder,
+             waiting.head,
              std::string(NameOf(backends::kTransferRefusalNames,
                                 backends::TransferRefusal::kWaitTooLong)));
     }
@@ -96,18 +107,37 @@
 }
 
 void
-BodyAdmission::Refuse(const LinkResponderPtr& aResponder,
-                      const std::string& aCallId,
-                      const std::string& aRoute,
+BodyAdmission::Refuse(LinkResponder& aResponder,
+                      const nodes::CallHead& aHead,
                       const std::string& aReason)
 {
-  mMetrics.Count("bodies_refused_total", { { "reason", aReason } });
+  mMetrics.Count("bodies_refused_total", {});
+  LogRefusal(aHead, aReason);
   callers::CallResult result;
   result.outcome = callers::CallOutcome::kNotRun;
-  result.callId = aCallId;
+  result.callId = aHead.call.callId;
   result.reason = aReason;
-  aResponder->Respond(
-    nodes::EncodeCallResult(result, mDispatcher.Load(aRoute)));
+  aResponder.Respond(
+    nodes::EncodeCallResult(result, mDispatcher.Load(aHead.call.route)));
+}
+
+void
+BodyAdmission::LogRefusal(const nodes::CallHead& aHead,
+                          const std::string& aReason)
+{
+  if (!mLogLimiter.Take(std::chrono::steady_clock::now())) {
+    return;
+  }
+  const std::string* id = http::FindHeader(aHead.call.headers, mIdHeader);
+  LogEvent(telemetry::LogCategory::kBackend,
+           telemetry::LogLevel::kInfo,
+           "body_refused",
+           { { "id", id ? *id : "" },
+             { "call", aHead.call.callId },
+             { "route", aHead.call.route },
+             { "bytes", std::to_string(aHead.bodySize) },
+             { "left_out", std::to_string(mLogLimiter.TakeSuppressedCount()) },
+             { "reason", aReason } });
 }
 
 } // namespace knapweedpaddle::node
--- a/src/node/BodyAdmission.h
+++ b/src/node/BodyAdmission.h
@@ -4,6 +4,7 @@
 #include "knapweedpaddle/backends/TransferGate.h"
 #include "knapweedpaddle/nodes/CallCodec.h"
 #include "knapweedpaddle/nodes/LinkServer.h"
+#include "knapweedpaddle/telemetry/LogRateLimiter.h"
 
 namespace knapweedpaddle::node {
 
@@ -17,9 +18,14 @@
 class BodyAdmission
 {
 public:
-  /** @param aLinkBytesPerMs  rate of the node's link; 0 if it is not known. */
+  /**
+   * @param aIdHeader        header with the caller's id of a call; may be
+   * empty.
+   * @param aLinkBytesPerMs  rate of the node's link; 0 if it is not known.
+   */
   BodyAdmission(backends::BackendDispatcher& aDispatcher,
                 telemetry::Metrics& aMetrics,
+                std::string aIdHeader,
                 double aLinkBytesPerMs);
 
   /** Accepts or refuses the body of a request; or lets it wait. */
@@ -33,22 +39,24 @@
   void OnTick();
 
 private:
+  /** A call whose body has not arrived whole. */
   struct Waiting
   {
     std::weak_ptr<nodes::LinkResponder> responder;
-    std::string callId;
-    std::string route;
+    nodes::CallHead head;
   };
 
   void GrantTransfers();
-  void Refuse(const nodes::LinkResponderPtr& aResponder,
-              const std::string& aCallId,
-              const std::string& aRoute,
+  void Refuse(nodes::LinkResponder& aResponder,
+              const nodes::CallHead& aHead,
               const std::string& aReason);
+  void LogRefusal(const nodes::CallHead& aHead, const std::string& aReason);
 
   backends::BackendDispatcher& mDispatcher;
   telemetry::Metrics& mMetrics;
+  std::string mIdHeader;
   backends::TransferGate mGate;
+  telemetry::LogRateLimiter mLogLimiter;
   std::uint64_t mLastId = 0;
   std::unordered_map<std::uint64_t, Waiting> mTransfers;
   std::unordered_map<const nodes::LinkResponder*, std::uint64_t> mIds;
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -43,7 +43,10 @@
                  mServices.journal },
                { mOptions.node, mOptions.zone },
                aRandomSeed)
-  , mBodies(mDispatcher, mServices.metrics, mOptions.linkBytesPerMs)
+  , mBodies(mDispatcher,
+            mServices.metrics,
+            mOptions.backendDialect.callId,
+            mOptions.linkBytesPerMs)
   , mServer(
       mServices.loop,
       [this](LinkRequest aRequest, const LinkResponderPtr& aResponder) {
