--- a/tests/processes/ProcessTest.cpp
+++ b/tests/processes/ProcessTest.cpp
@@ -6,9 +6,11 @@
 #include "knapweedpaddle/common/Time.h"
 #include "proof/ProofLog.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 using namespace knapweedpaddle;
 using namespace knapweedpaddle::processes;
@@ -107,6 +109,52 @@
   CheckHistory(history, "every node stopped under load");
 }
 
+TEST_CASE("calls in progress at planned stops that overlap are answered or "
+          "certainly not run",
+          "[processes][stop]")
+{
+  constexpr int kCallsPerStop = 8;
+  TestMesh mesh(17600);
+  mesh.backendFlags = { "--service_ms=500" };
+  StartMachines(mesh);
+  std::atomic<int> answered = 0;
+  std::atomic<int> lost = 0;
+  std::vector<std::thread> callers;
+  const auto startCalls = [&](const Machine& aIngress) {
+    for (int n = 0; n < kCallsPerStop; ++n) {
+      callers.emplace_back(
+        [&answered, &lost, address = aIngress.CallerAddress()] {
+          const Response response = SendRequest(
+            "POST", "http://" + address + "/dispatch/push/school-1", "ring");
+          answered += response.outcome == "answered" ? 1 : 0;
+          lost +=
+            response.outcome != "answered" && response.outcome != "not-run" ? 1
+                                                                            : 0;
+        });
+    }
+  };
+  // Each stop is that of an owner or an ingress at which calls are in progress.
+  const std::vector<std::size_t> stopped{ 1, 0, 3 };
+  startCalls(*mesh.machines[0]);
+  startCalls(*mesh.machines[2]);
+  for (const auto n : stopped) {
+    Sleep(150);
+    mesh.machines[n]->node->Signal(SIGTERM);
+    startCalls(*mesh.machines[2]);
+  }
+  for (auto& it : callers) {
+    it.join();
+  }
+  for (const auto n : stopped) {
+    CHECK(mesh.machines[n]->node->Wait(kStopTimeoutMs) == 0);
+  }
+  CHECK(lost == 0);
+  // The calls before the first stop fit into the slots of three servers.
+  CHECK(answered >= 2 * kCallsPerStop);
+  proof::Note(
+    "P9", "overlapping stops, slow servers", 1, lost > 0 ? 1 : 0, "processes");
+}
+
 TEST_CASE("a leaving backend server gets no new calls", "[processes]")
 {
   constexpr int kLeaveBoundMs = 3000;
