Refuse calls that are certain to miss their deadline while callers can be told

Cause: a call queued at its owner was refused 30 ms before its deadline, and one with a free slot was sent whatever little time it had. It was then cut off at the server, or the refusal came after the ingress had answered 504, so callers could not try again although the call had not run.

Change: with less than 0.3 of the expected service time left, a call is refused as not run, queued or not.

--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -8,9 +8,12 @@
 namespace {
 
 constexpr std::size_t kMaxQueuedPerSlot = 4;
-/** Queued calls are refused this long before their deadline, so that the
- * refusal reaches the caller in time. */
+/** Calls are refused this long before their deadline, so that the refusal
+ * reaches the caller in time. */
 constexpr Milliseconds kRefusalLeadTime{ 30 };
+/** Hardly any call takes less than this fraction of the expected service time;
+ * with less time left, a call would be cut off at the server. */
+constexpr double kMinServiceFraction = 0.3;
 /** Multiple of the expected service time that is reserved within the target. */
 constexpr double kServiceTimeMargin = 1.6;
 /** Maximum wait, as a fraction of the target time that remains after that. */
@@ -42,6 +45,16 @@
            aRequest.serviceMs;
 }
 
+/** Returns true if too little time is left to run a call before its deadline.
+ */
+bool
+IsDeadlineTooNear(const SlotRequest& aRequest, Timestamp aNow)
+{
+  const Milliseconds minService(
+    static_cast<std::int64_t>(aRequest.serviceMs * kMinServiceFraction));
+  return aRequest.deadline <= aNow + std::max(kRefusalLeadTime, minService);
+}
+
 Milliseconds
 FractionOf(Milliseconds aTime, double aFraction)
 {
@@ -79,6 +92,10 @@
     return std::nullopt;
   }
   Update(aNow);
+  if (IsDeadlineTooNear(aRequest, aNow)) {
+    aRefusal = SlotRefusal::kDeadlineTooNear;
+    return std::nullopt;
+  }
   const bool isLate = IsLate(aRequest, aNow);
   const bool hasSlot = TakeSlot(aRequest.callClass, aNow);
   const auto refusal =
@@ -164,7 +181,7 @@
     };
   for (auto* queue : Queues()) {
     expire(*queue, SlotRefusal::kDeadlineTooNear, [aNow](const auto& aRequest) {
-      return aRequest.deadline <= aNow + kRefusalLeadTime;
+      return IsDeadlineTooNear(aRequest, aNow);
     });
   }
   expire(mQueuedLate, SlotRefusal::kWaitTooLong, [aNow](const auto& aRequest) {
--- a/tests/backends/SlotQueueTest.cpp
+++ b/tests/backends/SlotQueueTest.cpp
@@ -182,6 +182,33 @@
   CHECK(it.refusals[2] == SlotRefusal::kDeadlineTooNear);
 }
 
+TEST_CASE(
+  "a call that is certain to miss its deadline at the server is refused "
+  "while its caller can still be told",
+  "[slots]")
+{
+  Fixture it(0);
+  it.queue.SetSlots(1);
+  SlotRequest request;
+  request.deadline = kLater;
+  request.serviceMs = 300;
+  request.id = 1;
+  REQUIRE(it.queue.Request(request, kNow, it.refusal) ==
+          SlotQueue::Admission::kSlotGranted);
+  request.id = 2;
+  REQUIRE(it.queue.Request(request, kNow, it.refusal) ==
+          SlotQueue::Admission::kQueued);
+  it.queue.Update(kLater - Milliseconds(100));
+  CHECK(it.refusals.empty());
+  it.queue.Update(kLater - Milliseconds(80));
+  CHECK(it.refusals[2] == SlotRefusal::kDeadlineTooNear);
+  // The same holds for a call that would get a slot at once.
+  it.queue.Release(request.callClass, std::nullopt, kNow);
+  request.id = 3;
+  CHECK_FALSE(it.queue.Request(request, kLater - Milliseconds(80), it.refusal));
+  CHECK(it.refusal == SlotRefusal::kDeadlineTooNear);
+}
+
 TEST_CASE("in overload no route starves, and priority order is kept", "[slots]")
 {
   // Three routes together offer twice as many calls as the slots can serve.
