--- a/tests/nodes/LinkSessionTest.cpp
+++ b/tests/nodes/LinkSessionTest.cpp
@@ -5,8 +5,8 @@
 
 #include "knapweedpaddle/runtime/EventLoop.h"
 
-#include <catch2/catch.hpp>
 #include <arpa/inet.h>
+#include <catch2/catch.hpp>
 #include <event2/bufferevent.h>
 #include <fcntl.h>
 #include <sys/socket.h>
@@ -105,9 +105,9 @@
   runtime::EventLoop loop;
   bufferevent* buffer =
     bufferevent_socket_new(loop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
-  REQUIRE(
-    bufferevent_socket_connect(
-      buffer, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  REQUIRE(bufferevent_socket_connect(buffer,
+                                     reinterpret_cast<sockaddr*>(&address),
+                                     sizeof(address)) == 0);
   int ends = 0;
   bool heardAfterEnd = false;
   LinkSession::Handler handler;
