Log abandoned calls at their ingress node and cancelled ones at their owner

Neither was logged, so the hypotheses of docs/incidents/abandoned-requests.md could not be told apart: stale input of a busy node, a network that holds calls or a close that nobody reads. Events call_abandoned and run_cancelled, counter owner_calls_cancelled_total. They share the rate limit of the other call lines.

--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -76,6 +76,7 @@
     bool countedSlow = false; ///< counted as slow before it ended
     BackendServer server;     ///< server to which the call was dispatched
     http::Client::RequestId request = 0;
+    Timestamp admittedAt;
     Timestamp sentAt;
     std::int64_t sentAtWallMicroseconds = 0;
   };
@@ -124,6 +125,7 @@
     PendingCall& pending = mPending[id];
     pending.call = std::move(aCall);
     pending.callback = std::move(aCallback);
+    pending.admittedAt = Now();
     Admit(id);
     return id;
   }
@@ -134,6 +136,7 @@
     if (it == mPending.end()) {
       return;
     }
+    LogCancelled(it->second);
     mSlots.Cancel(aRun);
     if (it->second.dispatched) {
       mHttp.Cancel(it->second.request);
@@ -583,6 +586,41 @@
     pending.callback(std::move(aResult));
   }
 
+  /** Counts and logs a call that its caller or its ingress node cancelled. */
+  void LogCancelled(const PendingCall& aPending)
+  {
+    const char* state = aPending.dispatched ? "dispatched" : "waiting";
+    mServices.metrics.Count("owner_calls_cancelled_total",
+                            { { "state", state } });
+    const Timestamp now = Now();
+    if (!mLogLimiter.Take(now)) {
+      return;
+    }
+    const auto elapsed = [now](Timestamp aSince) {
+      return std::to_string(
+        std::chrono::duration_cast<Milliseconds>(now - aSince).count());
+    };
+    LogEvent(telemetry::LogCategory::kBackend,
+             telemetry::LogLevel::kInfo,
+             "run_cancelled",
+             { { "id", CallerIdOf(aPending.call) },
+               { "call", aPending.call.callId },
+               { "state", state },
+               { "ms", elapsed(aPending.admittedAt) },
+               { "dispatched_ms",
+                 aPending.dispatched ? elapsed(aPending.sentAt) : "" },
+               { "left_out",
+                 std::to_string(mLogLimiter.TakeSuppressedCount()) } });
+  }
+
+  /** Returns the caller's own id of a call, or "". */
+  std::string CallerIdOf(const ForwardedCall& aCall) const
+  {
+    const std::string* id =
+      http::FindHeader(aCall.headers, mServices.dialect.callId);
+    return id ? *id : "";
+  }
+
   /** Logs a call that the backend server did not answer successfully. */
   void LogUnsuccessful(const PendingCall& aPending, const CallResult& aResult)
   {
@@ -593,8 +631,6 @@
       return;
     }
     const ForwardedCall& call = aPending.call;
-    const std::string* id =
-      http::FindHeader(call.headers, mServices.dialect.callId);
     const auto elapsed =
       aPending.dispatched
         ? std::chrono::duration_cast<Milliseconds>(now - aPending.sentAt)
@@ -603,7 +639,7 @@
       telemetry::LogCategory::kBackend,
       telemetry::LogLevel::kInfo,
       "run",
-      { { "id", id ? *id : "" },
+      { { "id", CallerIdOf(call) },
         { "call", call.callId },
         { "server", mBackend ? mBackend->id : "" },
         { "outcome",
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -679,10 +679,34 @@
   {
     if (!aCall->finished) {
       mServices.metrics.Count("calls_abandoned_total", {});
+      LogAbandoned(*aCall);
       StopCall(aCall);
     }
   }
 
+  /** Logs a call whose caller disconnected before the answer. */
+  void LogAbandoned(const Call& aCall)
+  {
+    const Timestamp now = Now();
+    if (!mLogLimiter.Take(now)) {
+      return;
+    }
+    LogEvent(
+      telemetry::LogCategory::kCalls,
+      telemetry::LogLevel::kInfo,
+      "call_abandoned",
+      { { "id", aCall.request.callId },
+        { "call", aCall.id },
+        { "route", aCall.route.header.name },
+        { "ms",
+          std::to_string(
+            std::chrono::duration_cast<Milliseconds>(now - aCall.receivedAt)
+              .count()) },
+        { "active", std::to_string(aCall.active.size()) },
+        { "left_out", std::to_string(mLogLimiter.TakeSuppressedCount()) },
+        { "steps", JoinSteps(aCall) } });
+  }
+
   /** Marks a call as finished and cancels its timers and active tries. */
   void StopCall(const CallPtr& aCall)
   {
@@ -742,10 +766,6 @@
     if (routine || !mLogLimiter.Take(now)) {
       return;
     }
-    std::string steps;
-    for (const auto& it : aCall.steps) {
-      steps += (steps.empty() ? "" : "; ") + it;
-    }
     const auto milliseconds =
       std::chrono::duration_cast<Milliseconds>(aElapsed).count();
     // A call that was not admitted has no deadline.
@@ -764,7 +784,16 @@
         { "ms", std::to_string(milliseconds) },
         { "left_ms", isAdmitted ? std::to_string(left) : "" },
         { "left_out", std::to_string(mLogLimiter.TakeSuppressedCount()) },
-        { "steps", steps } });
+        { "steps", JoinSteps(aCall) } });
+  }
+
+  static std::string JoinSteps(const Call& aCall)
+  {
+    std::string steps;
+    for (const auto& it : aCall.steps) {
+      steps += (steps.empty() ? "" : "; ") + it;
+    }
+    return steps;
   }
 
   /** Token bucket for one revision of a limit entry. */
