Run a delayed call only after its ingress node had time to cancel it

Callers saw requests reach backend servers long after they had left (GONE).

Cause: what a cut or lossy path holds arrives when the path is back: the calls first, each in a packet of its own, then their cancellations, which wait behind them. The owner dispatched each call at once, and with its whole time again, since the time left is stated relative to the arrival. The class of fault: acting on input that is older than what the sender has said since.

Change: requests carry their time of submission. The owner estimates from it, without synchronized clocks, how long a request was on its way beyond the fastest one. A request delayed by more than 250 ms, half the time in which work for an absent caller has to end, waits for the answer to a ping: all that its ingress node cancelled before the ping is then known. The delay is taken off the call's time.

Test "a call that the network held is not run after its cancellation" failed before: handled.size() 3 == 2.

--- a/include/knapweedpaddle/common/Time.h
+++ b/include/knapweedpaddle/common/Time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 /** Types and functions shared by all packages. */
 namespace knapweedpaddle {
@@ -16,6 +17,17 @@
 using Milliseconds = std::chrono::milliseconds;
 using Microseconds = std::chrono::microseconds;
 
+/** Returns the time since the VM was started, which unlike a Timestamp includes
+ * the time during which it was suspended. Thread safety: any thread. */
+inline Microseconds
+BootTime()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::duration_cast<Microseconds>(
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 /** Returns the current wall clock time. Thread safety: any thread. */
 inline WallMilliseconds
 WallNow()
--- a/include/knapweedpaddle/nodes/Link.h
+++ b/include/knapweedpaddle/nodes/Link.h
@@ -53,6 +53,9 @@
   bool waitUntilTimeout = false;
   /** Set for a received request: when its headers began to arrive. */
   Timestamp begunAt{};
+  /** Set for a received request: how much longer than others it was on its way
+   * to this process. */
+  Milliseconds delay{ 0 };
 };
 
 /** Response of a peer to a LinkRequest. */
--- a/src/node/BodyAdmission.cpp
+++ b/src/node/BodyAdmission.cpp
@@ -33,10 +33,10 @@
                          const LinkResponderPtr& aResponder)
 {
   std::string reason;
-  const auto head =
-    aRequest.path == nodes::kCallPath
-      ? nodes::DecodeCallHead(aRequest, aRequest.begunAt, reason)
-      : std::nullopt;
+  const auto head = aRequest.path == nodes::kCallPath
+                      ? nodes::DecodeCallHead(
+                          aRequest, aRequest.begunAt - aRequest.delay, reason)
+                      : std::nullopt;
   if (!head || head->bodySize <= nodes::kFreeBodyBytes) {
     // What can't be decoded gets its error response as a whole request.
     aResponder->AcceptBody();
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -202,10 +202,13 @@
 {
   const Timestamp now = std::chrono::steady_clock::now();
   // The call's time was stated when its headers were sent; a large body arrives
-  // long after them on a slow link.
-  const Timestamp begunAt = aRequest.begunAt;
+  // long after them on a slow link. A call that is read after a pause may have
+  // arrived when the pause began.
+  const Timestamp sentAt =
+    aRequest.begunAt -
+    std::max(aRequest.delay, mShortPauses.DelayFromPause(now));
   std::string reason;
-  auto call = nodes::DecodeCall(std::move(aRequest), begunAt, reason);
+  auto call = nodes::DecodeCall(std::move(aRequest), sentAt, reason);
   if (!call) {
     mServices.metrics.Count("bad_link_requests_total", {});
     LinkResponse response;
@@ -214,9 +217,6 @@
     aResponder->Respond(response);
     return;
   }
-  // A call that is read after a pause may have arrived when the pause began, so
-  // the length of the pause is taken off its deadline.
-  call->deadline -= mShortPauses.DelayFromPause(now);
   const auto parent = call->trace;
   call->trace = mServices.tracer.Child(parent);
   const auto span = call->trace;
--- a/src/nodes/LinkServer.cpp
+++ b/src/nodes/LinkServer.cpp
@@ -1,6 +1,7 @@
 #include "knapweedpaddle/nodes/LinkServer.h"
 
 #include "LinkSession.h"
+#include "knapweedpaddle/nodes/RequestDelayEstimator.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
 
 #include <algorithm>
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr int kBacklog = 512;
+/** A request that was delayed for longer may have been cancelled meanwhile, and
+ * the cancellation may still be on its way. */
+constexpr Milliseconds kMaxUnconfirmedDelay{ 250 };
 
 void
 DisableNagle(evutil_socket_t aSocket)
@@ -30,12 +34,23 @@
 public:
   class Responder;
 
+  struct DelayedRequest
+  {
+    LinkRequest request;
+    std::shared_ptr<Responder> responder;
+  };
+
   struct Connection
   {
     std::unique_ptr<LinkSession> session;
     std::unordered_map<std::int32_t, std::weak_ptr<Responder>> responders;
     /** Responders of requests whose body has not arrived whole. */
     std::unordered_map<std::int32_t, std::shared_ptr<Responder>> awaitingBody;
+    RequestDelayEstimator delays;
+    std::unordered_map<std::int32_t, Milliseconds> delayOf; ///< by stream id
+    /** Delayed requests, which wait for the answer to a ping. */
+    std::vector<DelayedRequest> delayed;
+    Microseconds pingSentAt{ 0 };
   };
 
   class Responder : public LinkResponder
@@ -163,8 +178,10 @@
       self->OnRequest(*raw, aStream);
     };
     handler.onStreamClosed = [self, raw](std::int32_t aStream, std::uint32_t) {
+      raw->delayOf.erase(aStream);
       self->CancelStream(*raw, aStream);
     };
+    handler.onPong = [self, raw] { self->OnPong(*raw); };
     handler.onClosed = [self, raw](const std::string&) { self->Drop(raw); };
     connection->session = std::make_unique<LinkSession>(
       LinkSession::Role::kServer, buffer, std::move(handler));
@@ -173,6 +190,7 @@
 
   void OnHeaders(Connection& aConnection, std::int32_t aStream)
   {
+    const Milliseconds delay = NoteDelay(aConnection, aStream);
     if (!mOnHeaders) {
       aConnection.session->AcceptBody(aStream);
       return;
@@ -183,6 +201,7 @@
     request.path = stream->path;
     request.headers = stream->headers;
     request.begunAt = stream->begunAt;
+    request.delay = delay;
     const auto responder = MakeResponder(aConnection, aStream);
     aConnection.awaitingBody[aStream] = responder;
     mOnHeaders(std::move(request), responder);
@@ -216,9 +235,62 @@
     request.headers = std::move(stream->headers);
     request.body = std::move(stream->body);
     request.begunAt = stream->begunAt;
+    request.delay = NoteDelay(aConnection, aStream);
+    if (request.delay > kMaxUnconfirmedDelay) {
+      Delay(aConnection, { std::move(request), std::move(responder) });
+      return;
+    }
     mOnRequest(std::move(request), responder);
   }
 
+  /** Returns the delay of a request; estimated once, when it arrives. */
+  static Milliseconds NoteDelay(Connection& aConnection, std::int32_t aStream)
+  {
+    const auto [it, isNew] = aConnection.delayOf.try_emplace(aStream, 0);
+    const Microseconds sentAt =
+      aConnection.session->FindStream(aStream)->sentAt;
+    if (isNew && sentAt != Microseconds(0)) {
+      it->second = std::chrono::duration_cast<Milliseconds>(
+        aConnection.delays.Add(sentAt, BootTime()));
+    }
+    return it->second;
+  }
+
+  /** Keeps a delayed request until the peer has answered a ping: what the peer
+   * cancelled before it got the ping is then known. */
+  static void Delay(Connection& aConnection, DelayedRequest aRequest)
+  {
+    aConnection.delayed.push_back(std::move(aRequest));
+    if (aConnection.delayed.size() == 1) {
+      SendPing(aConnection);
+    }
+  }
+
+  static void SendPing(Connection& aConnection)
+  {
+    aConnection.pingSentAt = BootTime();
+    aConnection.session->SendPing();
+  }
+
+  void OnPong(Connection& aConnection)
+  {
+    aConnection.delays.SetEarliestSendTime(aConnection.pingSentAt);
+    std::erase_if(aConnection.delayed, [](const DelayedRequest& aRequest) {
+      return aRequest.responder->IsAnswered();
+    });
+    if (aConnection.delayed.empty()) {
+      return;
+    }
+    const Microseconds elapsed = BootTime() - aConnection.pingSentAt;
+    if (elapsed > kMaxUnconfirmedDelay) {
+      SendPing(aConnection); // The answer was delayed, too.
+      return;
+    }
+    for (auto& it : std::exchange(aConnection.delayed, {})) {
+      mOnRequest(std::move(it.request), it.responder);
+    }
+  }
+
   void CancelStream(Connection& aConnection, std::int32_t aStream)
   {
     const auto it = aConnection.responders.find(aStream);
@@ -248,6 +320,7 @@
       }
     }
     connection->awaitingBody.clear();
+    connection->delayed.clear();
     mLoop.Post([connection] {});
   }
 
--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kMaxBufferedBytes = 32UL * 1024;
 /** Frames are made again once the socket's buffer has drained to this. */
 constexpr std::size_t kLowBufferedBytes = 16UL * 1024;
+/** Header of a request with the BootTime() at which it was submitted. */
+constexpr const char* kSentAtHeader = "sent-us";
 
 nghttp2_nv
 MakeField(const std::string& aName, const std::string& aValue)
@@ -91,6 +93,10 @@
     } else if (name == ":status") {
       std::from_chars(
         value.data(), value.data() + value.size(), stream->status);
+    } else if (name == kSentAtHeader) {
+      std::int64_t microseconds = 0;
+      std::from_chars(value.data(), value.data() + value.size(), microseconds);
+      stream->sentAt = Microseconds(microseconds);
     } else if (name[0] != ':' && stream->headers.size() < kMaxHeaderCount) {
       stream->headers.push_back({ std::move(name), std::move(value) });
     }
@@ -305,7 +311,12 @@
                                         { ":scheme", "http" },
                                         { ":authority", "node" },
                                         { ":path", aRequest.path } };
-  const auto fields = MakeFields(pseudo, aRequest.headers);
+  auto fields = MakeFields(pseudo, aRequest.headers);
+  const std::string sentAtName = kSentAtHeader;
+  const std::string sentAt = std::to_string(BootTime().count());
+  // No two requests share this value, so it isn't kept for compression.
+  fields.push_back(MakeField(sentAtName, sentAt));
+  fields.back().flags |= NGHTTP2_NV_FLAG_NO_INDEX;
   nghttp2_data_provider provider{};
   provider.read_callback = &LinkSessionCallbacks::ReadBody;
   const std::int32_t stream = nghttp2_submit_request(
--- a/src/nodes/LinkSession.h
+++ b/src/nodes/LinkSession.h
@@ -45,7 +45,9 @@
     bool outgoingBodyAccepted = true;
     /** The end of the outgoing message was passed to the socket's buffer. */
     bool outgoingEnded = false;
-    Timestamp begunAt{};   ///< when the headers began to arrive
+    Timestamp begunAt{}; ///< when the headers began to arrive
+    /** When the peer submitted the request, on its own clock; 0 if unknown. */
+    Microseconds sentAt{ 0 };
     bool complete = false; ///< the whole message was received
     bool tooLarge = false; ///< reset as the body exceeds kMaxLinkBodyBytes
   };
