Don't take the lag of a busy owner for a delay of the network

A busy node reads late what the network delivered in time, and the time until it reads was taken for a delay: the call waited for a ping, and lost that time. The event loop now bounds how long input may have waited for it, and that is taken off the estimated delay. The ping is not repeated if its answer is late.

--- a/include/knapweedpaddle/runtime/EventLoop.h
+++ b/include/knapweedpaddle/runtime/EventLoop.h
@@ -30,6 +30,11 @@
   /** Makes Run() return after the callback that is running. */
   void Stop();
 
+  /** Returns an upper bound of the time that input which is handled now waited
+   * until this loop read it: the current turn of the loop and the one before.
+   */
+  Milliseconds MaxInputLag() const;
+
   /** Queues a task for the loop's thread; tasks run in the order of posting. */
   void Post(Task aTask);
 
--- a/src/nodes/LinkServer.cpp
+++ b/src/nodes/LinkServer.cpp
@@ -244,14 +244,16 @@
   }
 
   /** Returns the delay of a request; estimated once, when it arrives. */
-  static Milliseconds NoteDelay(Connection& aConnection, std::int32_t aStream)
+  Milliseconds NoteDelay(Connection& aConnection, std::int32_t aStream)
   {
     const auto [it, isNew] = aConnection.delayOf.try_emplace(aStream, 0);
     const Microseconds sentAt =
       aConnection.session->FindStream(aStream)->sentAt;
     if (isNew && sentAt != Microseconds(0)) {
-      it->second = std::chrono::duration_cast<Milliseconds>(
+      const auto delay = std::chrono::duration_cast<Milliseconds>(
         aConnection.delays.Add(sentAt, BootTime()));
+      // A busy node reads late what the network delivered in time.
+      it->second = std::max(Milliseconds(0), delay - mLoop.MaxInputLag());
     }
     return it->second;
   }
@@ -262,32 +264,18 @@
   {
     aConnection.delayed.push_back(std::move(aRequest));
     if (aConnection.delayed.size() == 1) {
-      SendPing(aConnection);
+      aConnection.pingSentAt = BootTime();
+      aConnection.session->SendPing();
     }
   }
 
-  static void SendPing(Connection& aConnection)
-  {
-    aConnection.pingSentAt = BootTime();
-    aConnection.session->SendPing();
-  }
-
   void OnPong(Connection& aConnection)
   {
     aConnection.delays.SetEarliestSendTime(aConnection.pingSentAt);
-    std::erase_if(aConnection.delayed, [](const DelayedRequest& aRequest) {
-      return aRequest.responder->IsAnswered();
-    });
-    if (aConnection.delayed.empty()) {
-      return;
-    }
-    const Microseconds elapsed = BootTime() - aConnection.pingSentAt;
-    if (elapsed > kMaxUnconfirmedDelay) {
-      SendPing(aConnection); // The answer was delayed, too.
-      return;
-    }
     for (auto& it : std::exchange(aConnection.delayed, {})) {
-      mOnRequest(std::move(it.request), it.responder);
+      if (!it.responder->IsAnswered()) {
+        mOnRequest(std::move(it.request), it.responder);
+      }
     }
   }
 
--- a/src/runtime/EventLoop.cpp
+++ b/src/runtime/EventLoop.cpp
@@ -1,5 +1,7 @@
 #include "knapweedpaddle/runtime/EventLoop.h"
 
+#include <array>
+#include <atomic>
 #include <event2/event.h>
 #include <event2/thread.h>
 #include <mutex>
@@ -70,6 +72,28 @@
     event_base_free(mBase);
   }
 
+  void Run()
+  {
+    mStopped = false;
+    while (!mStopped) {
+      mTurnBegins = { mTurnBegins[1], std::chrono::steady_clock::now() };
+      event_base_loop(mBase, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+    }
+  }
+
+  void Stop()
+  {
+    mStopped = true;
+    Post([] {}); // A break between two turns would have no effect.
+    event_base_loopbreak(mBase);
+  }
+
+  Milliseconds MaxInputLag() const
+  {
+    return std::chrono::ceil<Milliseconds>(std::chrono::steady_clock::now() -
+                                           mTurnBegins[0]);
+  }
+
   void Post(Task aTask)
   {
     bool wasEmpty = false;
@@ -147,6 +171,8 @@
     static_cast<struct Watch*>(aWatch)->task();
   }
 
+  std::atomic<bool> mStopped{ false };
+  std::array<Timestamp, 2> mTurnBegins{}; ///< of the previous turn and this one
   EventPtr mWakeEvent;
   std::mutex mMutex;
   std::vector<Task> mTasks;
@@ -165,13 +191,19 @@
 void
 EventLoop::Run()
 {
-  event_base_loop(mImpl->mBase, EVLOOP_NO_EXIT_ON_EMPTY);
+  mImpl->Run();
 }
 
 void
 EventLoop::Stop()
 {
-  event_base_loopbreak(mImpl->mBase);
+  mImpl->Stop();
+}
+
+Milliseconds
+EventLoop::MaxInputLag() const
+{
+  return mImpl->MaxInputLag();
 }
 
 void
