Pass no request on whose client has closed the connection already

A busy node reads a request and the end of its connection in two turns of its event loop, and passed the request on in between. It was cancelled in the next turn, after its call might have been sent. The socket now shows the close before the request is handled.

Test "a request whose client has left is not passed on" failed before: handled /left, /too, /waits instead of /waits, for regular closes and resets.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "ServerConnection.h"
 
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -36,6 +37,16 @@
   return 400;
 }
 
+/** Returns true if the peer closed or reset a connection whose input was read.
+ */
+bool
+IsClosedByPeer(int aSocket)
+{
+  char next = 0;
+  const ssize_t n = recv(aSocket, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 } // namespace
 
 class ServerConnection::PendingExchange : public Exchange
@@ -192,6 +203,12 @@
 void
 ServerConnection::Dispatch()
 {
+  // A busy loop may read a request and the end of its connection together, and
+  // libevent reports the end only in a later turn.
+  if (IsClosedByPeer(bufferevent_getfd(mBuffer))) {
+    Close();
+    return;
+  }
   mContext.loop.Cancel(std::exchange(mTimer, 0));
   Request request = mParser.TakeRequest();
   mKeepAlive = request.keepAlive;
--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -133,6 +133,33 @@
   kept->Respond({}); // A late response is dropped.
 }
 
+TEST_CASE("a request whose client has left is not passed on", "[http]")
+{
+  EventLoop loop;
+  std::vector<std::string> handled;
+  Server server(loop, [&](const ExchangePtr& aExchange) {
+    handled.push_back(aExchange->Message().target);
+    aExchange->Respond({});
+  });
+  const std::string address = FreeAddress();
+  REQUIRE(server.Listen(address));
+  const bool reset = GENERATE(false, true);
+  for (const char* target : { "/left", "/too" }) {
+    const auto peer = RawPeer::ConnectTo(address);
+    peer->Write(std::string("GET ") + target + " HTTP/1.1\r\n\r\n");
+    if (reset) {
+      peer->ResetOnClose();
+    }
+  }
+  const auto peer = RawPeer::ConnectTo(address);
+  peer->Write("GET /waits HTTP/1.1\r\n\r\n");
+  REQUIRE(RunUntil(loop, [&] {
+    peer->Read();
+    return !peer->received.empty();
+  }));
+  CHECK(handled == std::vector<std::string>{ "/waits" });
+}
+
 TEST_CASE("bad and slow requests get an error status and a closed connection",
           "[http]")
 {
