See a client leave however much it has pipelined

With more than 256 KB of further input behind a request, the server stopped reading, and a socket that isn't read shows no close: the call ran on for a caller that had left, and wasn't logged as abandoned. Input beyond that limit is now read and discarded, and the connection closed after the response, so that the client sends what is unanswered again.

Test "a client's disconnect is reported whatever it sent meanwhile" failed before: the close was not reported within 3 s.

--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -13,8 +13,7 @@
 /** Time for the client to read the last response before the connection is
  * closed. */
 constexpr Milliseconds kLingerTime{ 1000 };
-/** Limit of pipelined input that waits for the current exchange; reading pauses
- * beyond it. */
+/** Limit of pipelined input that waits for the current exchange. */
 constexpr std::size_t kMaxUnparsedBytes = 256UL * 1024;
 
 constexpr int kRequestTimeout = 408;
@@ -156,8 +155,10 @@
     return;
   }
   if (mExchange) {
-    if (evbuffer_get_length(input) > kMaxUnparsedBytes) {
-      bufferevent_disable(mBuffer, EV_READ);
+    // A socket that is not read does not show that the client has left.
+    mDiscardsInput |= evbuffer_get_length(input) > kMaxUnparsedBytes;
+    if (mDiscardsInput) {
+      evbuffer_drain(input, evbuffer_get_length(input));
     }
     return;
   }
@@ -239,7 +240,7 @@
   }
   mExchange.reset();
   --mContext.inFlight;
-  const bool close = !mKeepAlive || mContext.draining;
+  const bool close = !mKeepAlive || mContext.draining || mDiscardsInput;
   const std::string bytes = Serialize(aResponse, close, mHeadRequest);
   bufferevent_write(mBuffer, bytes.data(), bytes.size());
   if (close) {
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -70,6 +70,9 @@
   bool mKeepAlive = true;
   bool mHeadRequest = false;
   bool mContinueSent = false;
+  /** Too much input was pipelined; it is discarded, and the connection is
+   * closed after the current response. */
+  bool mDiscardsInput = false;
   bool mLingering = false; ///< discards all input until the client closes
   bool mClosed = false;
 };
--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -160,6 +160,29 @@
   CHECK(handled == std::vector<std::string>{ "/waits" });
 }
 
+TEST_CASE("a client's disconnect is reported whatever it sent meanwhile",
+          "[http]")
+{
+  EventLoop loop;
+  bool disconnected = false;
+  ExchangePtr kept;
+  Server server(loop, [&](const ExchangePtr& aExchange) {
+    kept = aExchange;
+    aExchange->OnClientDisconnect([&disconnected] { disconnected = true; });
+  });
+  const std::string address = FreeAddress();
+  REQUIRE(server.Listen(address));
+  auto peer = RawPeer::ConnectTo(address);
+  peer->Write("GET / HTTP/1.1\r\n\r\n");
+  REQUIRE(RunUntil(loop, [&] { return kept != nullptr; }));
+  for (int n = 0; n < 12; ++n) {
+    peer->Write(std::string(32 * 1024, 'x'));
+    static_cast<void>(RunUntil(loop, [] { return true; }));
+  }
+  peer.reset();
+  CHECK(RunUntil(loop, [&] { return disconnected; }));
+}
+
 TEST_CASE("bad and slow requests get an error status and a closed connection",
           "[http]")
 {
