Refuse requests that crash the backend servers that run them

Cause: nothing remembered a request beyond its own attempt; each repetition was a new call and cost a server.

Change: the owner recognizes a crash (calls lose their connection, and the server refuses connections or starts again before it answers a call sent later) and suspects the requests in progress, of those the ones that were in progress at the most earlier crashes. Suspects are part of the member record and spread by gossip, forwarded at once. A request that was in progress at three crashes and was never answered is refused as not run, by ingress nodes and owners, until ten minutes after its last crash. One answer clears a request everywhere, so frequent harmless requests go on.

Tests: "a request that crashes each server start is not sent to the fourth" fails without the refusal (runs 6 == 3); "all nodes learn in time which request crashed servers" failed before suspects were forwarded at once (2 of 3 crashes known after 3 s at a loss of 5%, 6 of 96 nodes).

--- a/include/knapweedpaddle/backends/BackendDispatcher.h
+++ b/include/knapweedpaddle/backends/BackendDispatcher.h
@@ -5,6 +5,7 @@
 #include "knapweedpaddle/backends/ServerLoad.h"
 #include "knapweedpaddle/backends/SlotQueue.h"
 #include "knapweedpaddle/callers/Call.h"
+#include "knapweedpaddle/common/CrashSuspect.h"
 #include "knapweedpaddle/common/StopWindow.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
 #include "knapweedpaddle/telemetry/Metrics.h"
@@ -125,6 +126,18 @@
    * before the body of a call is transferred. */
   std::string CheckRefusal(const ForwardedCall& aCall);
 
+  /** Returns true if a request must not run, because several backend servers of
+   * the mesh crashed while they ran it; see CrashDetector. */
+  bool CrashesServers(const std::string& aMethod,
+                      const std::string& aPath,
+                      const std::string& aBody) const;
+
+  /** Sets which requests may have crashed the servers of other nodes. */
+  void SetSuspectsOfOtherNodes(CrashSuspects aSuspects);
+
+  /** Returns the requests that may have crashed this node's server. */
+  std::vector<CrashSuspect> ReportSuspects();
+
   /** Identifies a call passed to Run(). */
   using RunId = std::uint64_t;
 
--- a/include/knapweedpaddle/node/ControlCore.h
+++ b/include/knapweedpaddle/node/ControlCore.h
@@ -67,6 +67,13 @@
   /** Updates the call counts of this node's backend server. */
   void TakeEvidence(const backends::EvidenceTable& aEvidence);
 
+  /** Reports to the other nodes which requests may have crashed this node's
+   * backend server. */
+  void TakeSuspects(std::vector<CrashSuspect> aSuspects)
+  {
+    mMembers.ReportSuspects(std::move(aSuspects));
+  }
+
   /** Handles an announcement of the backend server on this VM. */
   void Announce(const backends::Announcement& aAnnouncement);
 
--- a/include/knapweedpaddle/node/FleetCore.h
+++ b/include/knapweedpaddle/node/FleetCore.h
@@ -84,6 +84,13 @@
   /** Takes the call counts of this node's backend server, for rollouts. */
   void TakeEvidence(const backends::EvidenceTable& aEvidence);
 
+  /** Reports to the other nodes which requests may have crashed this node's
+   * backend server. */
+  void TakeSuspects(std::vector<CrashSuspect> aSuspects)
+  {
+    mMemberAgent.ReportSuspects(std::move(aSuspects));
+  }
+
   /** Reads the store and contacts peers again after a pause of the process. */
   void OnPause();
 
--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -66,6 +66,10 @@
   /** Sends gossip datagrams. */
   void Send(const std::vector<nodes::Datagram>& aDatagrams);
 
+  /** Reports to all members which requests may have crashed this node's backend
+   * server. */
+  void ReportSuspects(std::vector<CrashSuspect> aSuspects);
+
   /** Deletes this node's row from the member table, when the node leaves. */
   void RemoveRow();
 
--- a/include/knapweedpaddle/nodes/MemberRecord.h
+++ b/include/knapweedpaddle/nodes/MemberRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "knapweedpaddle/common/CrashSuspect.h"
 #include "knapweedpaddle/common/EnumNames.h"
 
 #include <cstdint>
@@ -72,6 +73,8 @@
   MemberState state = MemberState::kStarting;
   std::uint64_t incarnation = 0; ///< process start, ms since the epoch
   std::uint32_t sequence = 0;    ///< revision of the record in its incarnation
+  /** Requests that may have crashed the node's backend server. */
+  std::vector<CrashSuspect> suspects{};
 
   bool operator==(const MemberRecord&) const = default;
 };
--- a/include/knapweedpaddle/nodes/Membership.h
+++ b/include/knapweedpaddle/nodes/Membership.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <random>
 #include <unordered_map>
+#include <utility>
 
 namespace knapweedpaddle::nodes {
 
@@ -127,6 +128,10 @@
    */
   std::optional<NodeId> TakeSyncPeer();
 
+  /** Returns whether a member reported other suspects of crashes since the last
+   * call. */
+  bool TakeSuspectNews() { return std::exchange(mHasSuspectNews, false); }
+
 private:
   /** The probe of one member in the current probe period. */
   struct Probe
@@ -196,6 +201,7 @@
   std::uint64_t mTableHashChangeCount = ~0ULL;
   std::uint32_t mConsecutiveMismatches = 0;
   std::optional<NodeId> mSyncPeer;
+  bool mHasSuspectNews = false;
 };
 
 } // namespace knapweedpaddle::nodes
--- a/include/knapweedpaddle/routing/RoutingView.h
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -54,6 +54,8 @@
   std::map<std::string, std::vector<Target>> targets; ///< keyed by service
   std::map<std::string, VersionSplit> splits;         ///< keyed by service
   RetryOptions retries;
+  /** Requests that may have crashed the backend servers of other nodes. */
+  CrashSuspects suspects;
   bool open = false; ///< whether the node may serve calls with config
 
   /** Returns the route of a request; see RouteTable::Find(). */
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "knapweedpaddle/backends/BackendDispatcher.h"
 
 #include "AnswerReader.h"
+#include "knapweedpaddle/backends/CrashDetector.h"
 #include "knapweedpaddle/backends/DepartedServers.h"
 #include "knapweedpaddle/backends/ServerRateLimit.h"
 #include "knapweedpaddle/http/Client.h"
@@ -40,6 +41,8 @@
 /** Weight of one call in the moving average of a route's service time. */
 constexpr double kRouteTimeSmoothing = 0.1;
 constexpr double kPercent = 100;
+constexpr const char* kCrashRefusal =
+  "backend servers crashed while they ran this request";
 /** Value of the metric for the rate limit while the server names none. */
 constexpr double kNoRateLimit = -1;
 
@@ -102,6 +105,7 @@
     if (mBackend && aBackend && !IsSameStart(*mBackend, *aBackend)) {
       mUnreachableUntil = {};
       mRateLimit.Lift();
+      OnServerDown();
     }
     mBackend = std::move(aBackend);
     if (mBackend) {
@@ -149,6 +153,21 @@
     }
   }
 
+  bool CrashesServers(const std::string& aMethod,
+                      const std::string& aPath,
+                      const std::string& aBody) const
+  {
+    return mCrashes.HasSuspects() &&
+           mCrashes.IsBlocked(CrashDetector::HashOf(aMethod, aPath, aBody));
+  }
+
+  void SetSuspectsOfOtherNodes(CrashSuspects aSuspects)
+  {
+    mCrashes.SetOtherNodes(std::move(aSuspects));
+  }
+
+  std::vector<CrashSuspect> ReportSuspects() { return mCrashes.Report(Now()); }
+
   void BeginStop(const StopWindow& aWindow) { mStopWindow = aWindow; }
 
   void Drain() { mSlots.Drain(); }
@@ -234,6 +253,10 @@
       OnLeaving(BackendServer(*mBackend));
       return "the backend server of this node is leaving";
     }
+    if (CrashesServers(aCall.method, aCall.path, aCall.body)) {
+      mServices.metrics.Count("crashing_calls_refused_total", {});
+      return kCrashRefusal;
+    }
     const auto selector = routing::VersionSelector::Parse(aCall.version);
     if (mBackend->service != aCall.service ||
         !selector.Matches(mBackend->version)) {
@@ -364,6 +387,10 @@
              "the backend server went away before the call was dispatched");
       return;
     }
+    if (CrashesServers(call.method, call.path, call.body)) {
+      Refuse(aRun, kCrashRefusal); // Found out while the call was queued.
+      return;
+    }
     const auto span = mServices.tracer.Child(call.trace);
     ++mDispatchedCalls;
     pending.dispatched = true;
@@ -434,7 +461,9 @@
       NoteRateLimit(*aResponse, pending.sentAt);
       isLeaving = mAnswers.SaysLeaving(*aResponse);
     }
+    const bool hasResponse = aResponse.has_value();
     CallResult result = ResultOf(pending.call, std::move(aResponse), aReason);
+    NoteCrashSigns(pending, hasResponse, result.outcome, aReason);
     if (isLeaving) {
       result.leavingServer = pending.server.StartName();
       OnLeaving(pending.server);
@@ -451,6 +480,45 @@
     Finish(aRun, std::move(result));
   }
 
+  /** Records what the end of a dispatched call tells about crashes. */
+  void NoteCrashSigns(const PendingCall& aPending,
+                      bool aHasResponse,
+                      CallOutcome aOutcome,
+                      const ClientReason& aReason)
+  {
+    if (!aHasResponse && aReason.code == ClientError::kNotSent) {
+      OnServerDown();
+      return;
+    }
+    const bool isLost = !aHasResponse && aReason.code == ClientError::kBroken;
+    if (!isLost && (!aHasResponse || mCrashes.IsIdle())) {
+      return;
+    }
+    const ForwardedCall& call = aPending.call;
+    const std::uint64_t request =
+      CrashDetector::HashOf(call.method, call.path, call.body);
+    if (isLost) {
+      mCrashes.OnConnectionLost(request, Now());
+    } else {
+      mCrashes.OnResponse(
+        request, aOutcome == CallOutcome::kAnswered, aPending.sentAt, Now());
+    }
+  }
+
+  /** Handles that the server refuses connections or has started again. */
+  void OnServerDown()
+  {
+    if (const std::size_t suspects = mCrashes.OnServerDown(Now());
+        suspects > 0) {
+      mServices.metrics.Count("backend_crashes_total", {});
+      LogEvent(telemetry::LogCategory::kBackend,
+               telemetry::LogLevel::kWarning,
+               "server_crashed",
+               { { "server", mBackend ? mBackend->id : "" },
+                 { "suspects", std::to_string(suspects) } });
+    }
+  }
+
   /** Records the rate limit that a response names, or that it names none. */
   void NoteRateLimit(const http::Response& aResponse, Timestamp aSentAt)
   {
@@ -600,17 +668,17 @@
       return std::to_string(
         std::chrono::duration_cast<Milliseconds>(now - aSince).count());
     };
-    LogEvent(telemetry::LogCategory::kBackend,
-             telemetry::LogLevel::kInfo,
-             "run_cancelled",
-             { { "id", CallerIdOf(aPending.call) },
-               { "call", aPending.call.callId },
-               { "state", state },
-               { "ms", elapsed(aPending.admittedAt) },
-               { "dispatched_ms",
-                 aPending.dispatched ? elapsed(aPending.sentAt) : "" },
-               { "left_out",
-                 std::to_string(mLogLimiter.TakeSuppressedCount()) } });
+    LogEvent(
+      telemetry::LogCategory::kBackend,
+      telemetry::LogLevel::kInfo,
+      "run_cancelled",
+      { { "id", CallerIdOf(aPending.call) },
+        { "call", aPending.call.callId },
+        { "state", state },
+        { "ms", elapsed(aPending.admittedAt) },
+        { "dispatched_ms",
+          aPending.dispatched ? elapsed(aPending.sentAt) : "" },
+        { "left_out", std::to_string(mLogLimiter.TakeSuppressedCount()) } });
   }
 
   /** Returns the caller's own id of a call, or "". */
@@ -661,6 +729,7 @@
   StopWindow mStopWindow;
   std::uint64_t mDispatchedCalls = 0;
   std::optional<BackendServer> mBackend;
+  CrashDetector mCrashes;
   DepartedServers mDepartedServers; ///< servers whose answers said so
   RunId mLastRun = 0;
   std::unordered_map<RunId, PendingCall> mPending;
@@ -693,6 +762,26 @@
   return mImpl->CheckRefusal(aCall);
 }
 
+bool
+BackendDispatcher::CrashesServers(const std::string& aMethod,
+                                  const std::string& aPath,
+                                  const std::string& aBody) const
+{
+  return mImpl->CrashesServers(aMethod, aPath, aBody);
+}
+
+void
+BackendDispatcher::SetSuspectsOfOtherNodes(CrashSuspects aSuspects)
+{
+  mImpl->SetSuspectsOfOtherNodes(std::move(aSuspects));
+}
+
+std::vector<CrashSuspect>
+BackendDispatcher::ReportSuspects()
+{
+  return mImpl->ReportSuspects();
+}
+
 BackendDispatcher::RunId
 BackendDispatcher::Run(ForwardedCall aCall,
                        callers::CallResultCallback aCallback)
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -51,6 +51,8 @@
 constexpr double kLogBurst = 100;
 constexpr int kFirstServerError = 500;
 constexpr int kGatewayTimeout = 504;
+constexpr const char* kCrashRefusal =
+  "backend servers crashed while they ran this request";
 
 /** Returns whether a try that failed with a link error may have run. */
 TryOutcome
@@ -287,6 +289,9 @@
     if (aCall.deadline < now + kMinTimeout) {
       return "the deadline has passed";
     }
+    if (CrashesServers(aCall)) {
+      return kCrashRefusal;
+    }
     if (!mStopWindow.Takes(now, aCall.deadline)) {
       return "this node is stopping and may exit before the call ends";
     }
@@ -300,6 +305,13 @@
     return {};
   }
 
+  bool CrashesServers(const Call& aCall) const
+  {
+    const CallRequest& request = aCall.request;
+    return mServices.dispatcher.CrashesServers(
+      request.method, request.path, request.body);
+  }
+
   /** Chooses the service for the next call of a route by the split weights. */
   std::string DrawService(const config::RouteEntry& aRoute)
   {
@@ -573,6 +585,10 @@
       FinishUnanswered(aCall, aFailure.reason);
       return;
     }
+    if (CrashesServers(*aCall)) {
+      FinishUnanswered(aCall, kCrashRefusal);
+      return;
+    }
     mServices.metrics.Count("retries_total", {});
     if (!StartTry(aCall)) {
       FinishUnanswered(
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -134,6 +134,13 @@
   mServices.loop.Post([this, evidence] { mCore.TakeEvidence(*evidence); });
 }
 
+void
+ControlPlane::TakeSuspects(std::vector<CrashSuspect> aSuspects)
+{
+  mServices.loop.Post(
+    [this, suspects = std::move(aSuspects)] { mCore.TakeSuspects(suspects); });
+}
+
 void
 ControlPlane::OnPause()
 {
--- a/src/node/ControlPlane.h
+++ b/src/node/ControlPlane.h
@@ -55,6 +55,7 @@
 
   /** Updates the call counts of this node's backend server. Any thread. */
   void TakeEvidence(const backends::EvidenceTable& aEvidence);
+  void TakeSuspects(std::vector<CrashSuspect> aSuspects);
 
   /** Handles a pause of the process. Any thread. */
   void OnPause();
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -157,6 +157,11 @@
                    mControlLoop.Post(
                      [this, aEvidence] { mCore.TakeEvidence(aEvidence); });
                  },
+                 [this](std::vector<CrashSuspect> aSuspects) {
+                   mControlLoop.Post([this, suspects = std::move(aSuspects)] {
+                     mCore.TakeSuspects(suspects);
+                   });
+                 },
                  [this] { mControlLoop.Post([this] { mCore.OnPause(); }); },
                  [this](const backends::BackendServer& aServer) {
                    mControlLoop.Post(
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -131,6 +131,10 @@
 MemberAgent::Receive(const nodes::GossipMessage& aMessage)
 {
   Send(mMembers.Receive(aMessage, mServices.scheduler.Now()));
+  if (mMembers.TakeSuspectNews()) {
+    // Spreads faster than with the next probes.
+    Send(mMembers.VersionHints());
+  }
 }
 
 nodes::JoinAnswer
@@ -151,6 +155,15 @@
   }
 }
 
+void
+MemberAgent::ReportSuspects(std::vector<CrashSuspect> aSuspects)
+{
+  MemberRecord record = mMembers.Self();
+  record.suspects = std::move(aSuspects);
+  mMembers.UpdateSelf(std::move(record));
+  Send(mMembers.VersionHints());
+}
+
 void
 MemberAgent::RemoveRow()
 {
--- a/src/node/MemberTargets.cpp
+++ b/src/node/MemberTargets.cpp
@@ -23,6 +23,9 @@
   };
   add(aMembers.Self(), false);
   for (const auto& [id, member] : aMembers.Members()) {
+    for (const auto& it : member.record.suspects) {
+      MergeSuspect(aView.suspects, it);
+    }
     if (member.liveness != Liveness::kDead) {
       add(member.record, member.liveness == Liveness::kSuspect);
     }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -75,6 +75,9 @@
                  [this](const backends::EvidenceTable& aEvidence) {
                    mControl.TakeEvidence(aEvidence);
                  },
+                 [this](std::vector<CrashSuspect> aSuspects) {
+                   mControl.TakeSuspects(std::move(aSuspects));
+                 },
                  [this] { mControl.OnPause(); },
                  {},
                  [this](callers::CallRequest aRequest,
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -72,6 +72,11 @@
       mReportedEvidence = mDispatcher.Evidence();
       mServices.onEvidence(mReportedEvidence);
     }
+    if (auto suspects = mDispatcher.ReportSuspects();
+        suspects != mReportedSuspects) {
+      mReportedSuspects = std::move(suspects);
+      mServices.onSuspects(mReportedSuspects);
+    }
   });
 }
 
@@ -89,8 +94,10 @@
 void
 TrafficPlane::SetView(routing::RoutingViewPtr aView)
 {
-  mServices.loop.Post(
-    [this, view = std::move(aView)] { mForwarder.SetView(view); });
+  mServices.loop.Post([this, view = std::move(aView)] {
+    mDispatcher.SetSuspectsOfOtherNodes(view->suspects);
+    mForwarder.SetView(view);
+  });
 }
 
 void
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -32,6 +32,9 @@
       onPeerRequest;
     /** Receives the call counts of this node's backend server. */
     std::function<void(const backends::EvidenceTable&)> onEvidence;
+    /** Receives the requests that may have crashed this node's backend server.
+     */
+    std::function<void(std::vector<CrashSuspect>)> onSuspects;
     /** Runs after a pause of the process. */
     std::function<void()> onPause;
     /** Runs when this node's backend server says that it is leaving; may be
@@ -119,7 +122,8 @@
   BodyAdmission mBodies;
   nodes::LinkServer mServer;
   callers::CallerServer mCallers;
-  backends::EvidenceTable mReportedEvidence; ///< last passed to onEvidence
+  std::vector<CrashSuspect> mReportedSuspects; ///< last passed to onSuspects
+  backends::EvidenceTable mReportedEvidence;   ///< last passed to onEvidence
 };
 
 } // namespace knapweedpaddle::node
--- a/src/nodes/GossipCodec.cpp
+++ b/src/nodes/GossipCodec.cpp
@@ -23,6 +23,12 @@
   out.set_state(static_cast<std::uint32_t>(record.state));
   out.set_incarnation(record.incarnation);
   out.set_sequence(record.sequence);
+  for (const auto& it : record.suspects) {
+    wire::CrashSuspect& suspect = *out.add_suspects();
+    suspect.set_request(it.request);
+    suspect.set_crashes(it.crashes);
+    suspect.set_answered(it.answered);
+  }
   aOut.set_liveness(static_cast<std::uint32_t>(aUpdate.liveness));
 }
 
@@ -47,6 +53,10 @@
                                 static_cast<MemberState>(in.state()),
                                 in.incarnation(),
                                 in.sequence() };
+  for (const auto& it : in.suspects()) {
+    update.record.suspects.push_back(
+      { it.request(), it.crashes(), it.answered() });
+  }
   return update;
 }
 
--- a/src/nodes/Membership.cpp
+++ b/src/nodes/Membership.cpp
@@ -161,6 +161,7 @@
         aUpdate.liveness == Liveness::kAlive) {
       mSyncPeer = record.node;
     }
+    mHasSuspectNews |= record.suspects != member.record.suspects;
     member = Member{ record, aUpdate.liveness, aNow };
     ++mChangeCount;
     QueueUpdate(aUpdate);
--- a/tests/backends/BackendDispatcherTest.cpp
+++ b/tests/backends/BackendDispatcherTest.cpp
@@ -4,6 +4,7 @@
 #include "knapweedpaddle/backends/BackendDispatcher.h"
 
 #include "fakes/FreeAddress.h"
+#include "fakes/ScriptedServer.h"
 #include "knapweedpaddle/http/Server.h"
 #include "knapweedpaddle/telemetry/Metrics.h"
 #include "knapweedpaddle/telemetry/Tracer.h"
@@ -255,3 +256,30 @@
   it.RunLoopFor(Milliseconds(40));
   CHECK(it.pending.size() == 1);
 }
+
+TEST_CASE("a request that crashes each server start is not sent to the fourth",
+          "[owner]")
+{
+  Fixture it;
+  int runs = 0;
+  for (int start = 0; start < 6; ++start) {
+    fakes::ScriptedServer server;
+    it.backend.address = server.address;
+    it.backend.startedAtMs += 1;
+    it.dispatcher.SetBackend(it.backend);
+    it.Run();
+    fakes::RunUntil(it.loop, [&] {
+      server.Accept();
+      if (server.peer) {
+        server.peer->Read();
+      }
+      return it.answered > start ||
+             (server.peer && !server.peer->received.empty());
+    });
+    runs += server.peer ? 1 : 0;
+    server.peer.reset();
+    it.RunLoopFor(Milliseconds(20));
+    REQUIRE(it.answered == start + 1);
+  }
+  CHECK(runs == 3);
+}
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -120,6 +120,30 @@
   CHECK(targets() == 0);
 }
 
+TEST_CASE("all nodes learn in time which request crashed servers", "[fleet]")
+{
+  constexpr std::uint64_t kRequest = 77;
+  /** The platform's limit until a machine is in touch. */
+  constexpr Milliseconds kMaxContactTime{ 3000 };
+  for (std::uint64_t seed = 0; seed < kSeedCount; ++seed) {
+    const auto fleet = SettledFleet(seed);
+    fleet->loss = 0.05;
+    for (std::size_t n = 0; n < 3; ++n) {
+      fleet->nodes[n].core->TakeSuspects({ { kRequest, 1, false } });
+    }
+    fleet->clock.RunFor(kMaxContactTime);
+    for (std::size_t n = 0; n < fleet->nodes.size(); ++n) {
+      const CrashSuspects& others = fleet->nodes[n].view->suspects;
+      REQUIRE(others.contains(kRequest));
+      CHECK(others.at(kRequest).crashes == (n < 3 ? 2U : 3U));
+      CHECK_FALSE(others.at(kRequest).answered);
+    }
+    fleet->nodes[5].core->TakeSuspects({ { kRequest, 0, true } });
+    fleet->clock.RunFor(kMaxContactTime);
+    CHECK(fleet->nodes[0].view->suspects.at(kRequest).answered);
+  }
+}
+
 // Guards against a node that goes back to an older version when several writes
 // are on their way to it at once by different paths, and nodes restart.
 TEST_CASE("many writes in a row end with the newest version, and no node goes "
