--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -2,6 +2,7 @@
 // while nodes, the links between them or the store fail.
 
 #include "fakes/FakeFleet.h"
+#include "knapweedpaddle/store/CatalogueRows.h"
 
 #include <catch2/catch.hpp>
 
@@ -214,6 +215,35 @@
   }
 }
 
+TEST_CASE("odd rows of another writer don't keep nodes from finding each other",
+          "[fleet]")
+{
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    INFO("seed " << seed);
+    FakeFleet fleet(seed);
+    for (int n = 0; n < 12; ++n) {
+      fleet.Add("zone" + std::to_string(n % 3), "svc");
+    }
+    fleet.WriteConfig(5);
+    store::Transaction transaction;
+    int key = 0;
+    for (const std::string& it : { std::string(60'000, '['),
+                                   std::string("10.0.0.1:65616"),
+                                   std::string("99999999999999999999:1"),
+                                   std::string() }) {
+      transaction.writes.push_back(
+        { store::kMemberPrefix + std::to_string(++key), it, false });
+    }
+    fleet.shared.table.Commit(transaction);
+    fleet.StartAll();
+    fleet.clock.RunFor(kSettleTime);
+    CHECK(fleet.AllServe(5));
+    for (const auto& it : fleet.nodes) {
+      CHECK(it.core->Members().Members().size() == 11);
+    }
+  }
+}
+
 // Guards against a load peak on the store when all nodes start together: each
 // starting node could take itself for a reader, or read member rows before any
 // is written.
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -5,6 +5,7 @@
 #include "ConfigDocument.h"
 #include "ReportMessage.h"
 #include "SettingsFile.h"
+#include "knapweedpaddle/backends/BackendServerTracker.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -156,6 +157,48 @@
   }
 }
 
+TEST_CASE("an odd entry of another writer names no server and ends no process",
+          "[platform]")
+{
+  const std::string nested =
+    std::string(60'000, '[') + std::string(60'000, ']');
+  std::string reason;
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "\"v1\"", nested },
+         { "\"v1\"", "{\"a\":" + nested + "}" },
+         { "12", nested },
+         { "12", "4294967308" },
+         { "12", "1e300" },
+         { "12", "-1" },
+         { "12", "12.5" },
+         { "\"seq\":4", "\"seq\":1e30" },
+         { "\"seq\":4", "\"seq\":-4" },
+         { "\"seq\":4", "\"seq\":18446744073709551616" },
+         { "1790000000000", "1e300" },
+         { "1790000000000", "-1" },
+         { "1790000000000", "1e999" },
+         { "0.5", "1e300" },
+         { "0.5", "-1e300" } }) {
+    INFO(from << " replaced by " << to.substr(0, 40));
+    CHECK_FALSE(
+      DecodeReport(Heartbeat(Replaced(kReport, from, to)), reason).has_value());
+  }
+  for (const char* address : { "10.0.0.9:65616", "10.0.0.9:0" }) {
+    const auto report = DecodeReport(
+      Heartbeat(Replaced(kReport, "10.0.0.9:80", address)), reason);
+    REQUIRE(report.has_value());
+    backends::BackendServerTracker tracker("10.0.0.9:80");
+    CHECK(tracker.Apply(*report, Timestamp{}, WallNow()) ==
+          backends::ReportOutcome::kForeign);
+  }
+  CHECK_FALSE(DecodeReport(Heartbeat(nested), reason).has_value());
+  CHECK_FALSE(DecodeReport(Heartbeat(nested.substr(0, 60'000)), reason));
+  const auto limits =
+    R"({"version":"r1","services":{},"routes":{},"limits":{"x":)";
+  CHECK(DecodeConfig(limits + nested + "}}", reason));
+}
+
 TEST_CASE("a deregistration needs no body", "[platform]")
 {
   http::Request request;
