--- a/src/backends/CrashDetector.cpp
+++ b/src/backends/CrashDetector.cpp
@@ -97,6 +97,7 @@
     return aNow - aItem.second.seenAt > kSuspicionTime;
   });
   std::vector<OwnSuspect> own;
+  own.reserve(mOwn.size());
   for (const auto& [request, it] : mOwn) {
     own.push_back(it);
   }
@@ -107,6 +108,7 @@
     });
   own.resize(std::min(own.size(), kMaxReported));
   std::vector<CrashSuspect> report;
+  report.reserve(own.size());
   for (const auto& it : own) {
     report.push_back(it.suspect);
   }
--- a/tests/backends/CrashDetectorTest.cpp
+++ b/tests/backends/CrashDetectorTest.cpp
@@ -68,7 +68,7 @@
           "[backends]")
 {
   std::vector<CrashDetector> nodes(2);
-  for (int n = 0; n < 5; ++n) {
+  for (std::int64_t n = 0; n < 5; ++n) {
     Crash(nodes[0], n * 1000, { kDeadly, kHarmless });
     Exchange(nodes, n * 1000 + 100);
     nodes[1].OnResponse(kHarmless, true, At(n * 1000), At(n * 1000 + 200));
@@ -82,7 +82,7 @@
 TEST_CASE("a lost response of a server that is up is no crash", "[backends]")
 {
   CrashDetector node;
-  for (int n = 0; n < 5; ++n) {
+  for (std::int64_t n = 0; n < 5; ++n) {
     node.OnConnectionLost(kHarmless, At(n * 1000));
     node.OnResponse(kOther, true, At(n * 1000 + 10), At(n * 1000 + 20));
     CHECK(node.OnServerDown(At(n * 1000 + 500)) == 0);
@@ -93,7 +93,7 @@
 TEST_CASE("a refusal does not show that a request is harmless", "[backends]")
 {
   CrashDetector node;
-  for (int n = 0; n < 3; ++n) {
+  for (std::int64_t n = 0; n < 3; ++n) {
     Crash(node, n * 1000, { kDeadly });
     node.OnResponse(kDeadly, false, At(n * 1000 + 100), At(n * 1000 + 101));
   }
@@ -104,7 +104,7 @@
           "[backends]")
 {
   CrashDetector node;
-  for (int n = 0; n < 3; ++n) {
+  for (std::int64_t n = 0; n < 3; ++n) {
     Crash(node, n * 1000, { kDeadly });
   }
   CHECK(node.Report(At(600'000)).size() == 1);
--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -175,8 +175,9 @@
   auto peer = RawPeer::ConnectTo(address);
   peer->Write("GET / HTTP/1.1\r\n\r\n");
   REQUIRE(RunUntil(loop, [&] { return kept != nullptr; }));
+  constexpr std::size_t kPieceBytes = 32UL * 1024;
   for (int n = 0; n < 12; ++n) {
-    peer->Write(std::string(32 * 1024, 'x'));
+    peer->Write(std::string(kPieceBytes, 'x'));
     static_cast<void>(RunUntil(loop, [] { return true; }));
   }
   peer.reset();
