--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -929,6 +929,12 @@
     mServer.Close();
   }
 
+  /** Sets how long requests with a path prefix take, instead of kWorkS. */
+  void SetWork(const std::string& aPrefix, double aSeconds)
+  {
+    mWork[aPrefix] = aSeconds;
+  }
+
   std::vector<Arrival> Arrivals()
   {
     const std::scoped_lock lock(mMutex);
@@ -958,6 +964,16 @@
     return done;
   }
 
+  double WorkFor(const std::string& aPath) const
+  {
+    for (const auto& [prefix, seconds] : mWork) {
+      if (aPath.starts_with(prefix)) {
+        return seconds;
+      }
+    }
+    return kWorkS;
+  }
+
   void Serve(Connection& aConnection)
   {
     Message request;
@@ -983,7 +999,7 @@
                          id.c_str(),
                          target.c_str(),
                          request.Header("caller-service").c_str());
-      Sleep(kWorkS);
+      Sleep(WorkFor(target));
       std::vector<std::pair<std::string, std::string>> headers{
         { "Request-Id", id }, { "Server-Stamp", mId }
       };
@@ -1006,6 +1022,7 @@
   std::atomic<std::uint64_t> mSequence{ 0 };
   std::atomic<bool> mReporting{ false };
   std::atomic<bool> mLeaving{ false };
+  std::map<std::string, double> mWork; ///< by path prefix; set before Start()
   Server mServer;
   std::mutex mMutex;
   std::vector<Arrival> mArrivals;
