--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,34 +1,41 @@
-// CONFIG: a route that is added later is never served, because its requests are
-// refused by the time that requests of other routes of the service take.
+// TWICE: a machine stands still while a version adds a route whose requests may not
+// be repeated. When it goes on, it handles requests that wait by an older, safe route.
 #include "harness.h"
 
+#include <set>
+
 using namespace review;
 
 namespace {
 
-constexpr int kMachines = 6; ///< the odd ones have the servers of "bookings"
-constexpr double kBookingWorkS = 2;
-constexpr double kBookingTimeoutS = 4;
-constexpr double kRosterWorkS = 0.04;
-constexpr double kRosterTimeoutS = 0.5;
+constexpr int kMachines = 6;
+const char* const kZones[] = { "regina-yard",
+                               "saskatoon-hall",
+                               "lethbridge-vault" };
+constexpr const char* kHost = "bells.example";
+/** Work on a request of the added route, below the target of 0.3 s. */
+constexpr double kRingWorkS = 0.25;
+constexpr int kFrozen = 4; ///< has no server of "dispatch"
+constexpr double kFreezeS = 4.5;
+constexpr int kRings = 8;
 
-Json
-Routes(bool aWithRoster)
+/** All versions route /bells/ to "dispatch" as safe; r9 adds /bells/ring/. */
+std::string
+ConfigOf(int aVersion)
 {
-  Json booking = Route("desk.example", "/book/", "bookings");
-  booking["kind"] = "non_idempotent";
-  booking["timeout-s"] = kBookingTimeoutS;
-  booking["target-latency-s"] = 2.5;
-  Json routes{ { "r-book", booking } };
-  if (aWithRoster) {
-    Json roster = Route("desk.example", "/roster/", "bookings");
-    roster["timeout-s"] = kRosterTimeoutS;
-    roster["target-latency-s"] = 0.15;
-    routes["r-roster"] = roster;
+  Json routes{ { "r-bells", Route(kHost, "/bells/", "dispatch") } };
+  if (aVersion >= 6) {
+    routes["r-extra"] = Route("extra.example", "/extra/", "timetable");
+  }
+  if (aVersion >= 9) {
+    routes["r-ring"] = Route(kHost, "/bells/ring/", "dispatch");
+    routes["r-ring"]["kind"] = "non_idempotent";
   }
-  return routes;
+  return Config(aVersion, routes, { "dispatch", "timetable" });
 }
 
+std::atomic<bool> frozen{ false };
+
 int
 Run(World& aWorld)
 {
@@ -36,17 +43,17 @@
   if (!store.Listen(aWorld.StoreIp(), kStorePort)) {
     return CouldNotRun("the store's port is taken");
   }
-  const std::vector<std::string> services{ "bookings", "front" };
-  // Without the trouble, both routes are there from the start.
-  store.Put("op", "config", Config(5, Routes(!HasTrouble()), services));
+  store.Put("op", "config", ConfigOf(5));
   std::vector<int> machines;
+  std::vector<Upstream*> servers;
   for (int n = 1; n <= kMachines; ++n) {
-    const std::string service = n % 2 == 1 ? "bookings" : "front";
+    const std::string zone = kZones[n % 3];
+    const std::string service = n <= 3 ? "dispatch" : "timetable";
     machines.push_back(n);
-    aWorld.WriteSettings(n, "regina-yard", service);
-    auto& upstream = *new Upstream(aWorld, n, service, "v1", "regina-yard");
-    upstream.SetWork("/book/", kBookingWorkS);
-    upstream.SetWork("/roster/", kRosterWorkS);
+    aWorld.WriteSettings(n, zone, service);
+    auto& upstream = *new Upstream(aWorld, n, service, "v1", zone);
+    upstream.SetWork("/bells/ring/", kRingWorkS);
+    servers.push_back(&upstream);
     if (!upstream.Start() || !aWorld.Start(n)) {
       return CouldNotRun("a machine could not be started");
     }
@@ -55,75 +62,96 @@
   if (!aWorld.WaitReady(machines, 15)) {
     return CouldNotRun("the nodes were not ready in time");
   }
-  Sleep(6);
+  Sleep(8);
 
+  // Callers read bell lists all the time, on all machines but the frozen one.
   std::atomic<bool> sending{ true };
-  std::atomic<double> judgedFrom{ 1e9 };
-  std::atomic<int> booked{ 0 };
-  std::atomic<int> bookings{ 0 };
-  std::atomic<int> served{ 0 };
-  std::atomic<int> rosters{ 0 };
+  std::mutex mutex;
+  std::vector<Attempt> rings;
   std::vector<std::thread> callers;
-  callers.emplace_back([&] {
-    for (int n = 0; sending; ++n) {
-      const Attempt it = SendRequest(aWorld,
-                                     machines[n % kMachines],
-                                     "GET",
-                                     "desk.example",
-                                     "/roster/today",
-                                     500);
-      if (it.sentAt > judgedFrom) {
-        ++rosters;
-        served += it.status == 200 ? 1 : 0;
-      }
-      Sleep(0.1);
-    }
-  });
-  Sleep(3);
-  for (int n = 0; n < 12; ++n) {
-    callers.emplace_back([&, n] {
+  for (const int machine : machines) {
+    callers.emplace_back([&, machine] {
       while (sending) {
-        const Attempt it = SendRequest(aWorld,
-                                       machines[n % kMachines],
-                                       "POST",
-                                       "desk.example",
-                                       "/book/slot",
-                                       4000,
-                                       "slot=7");
-        if (it.sentAt > judgedFrom) {
-          ++bookings;
-          booked += it.status == 200 ? 1 : 0;
+        if (machine != kFrozen || !frozen) {
+          SendRequest(aWorld, machine, "GET", kHost, "/bells/today", 1200);
         }
         Sleep(0.1);
       }
     });
   }
-  Sleep(10);
-  const double added = store.Put("op", "config", Config(8, Routes(true), services));
-  Record::Get().Say(HasTrouble()
-                      ? "operator: r8 adds a route to /roster/, confirmed at %.3f"
-                      : "operator: r8, the same routes, confirmed at %.3f",
-                    added);
-  judgedFrom = added + kConfigApplyS + 1;
-  SleepUntil(added + 33);
+  Sleep(3);
+  if (HasTrouble()) {
+    frozen = true;
+    Sleep(1.3);
+    kill(aWorld.Pid(kFrozen), SIGSTOP);
+    Record::Get().Say("machine %d stands still", kFrozen);
+  }
+  const double stopped = Now();
+  Sleep(0.3);
+  const double confirmed = store.Put("op", "config", ConfigOf(9));
+  Record::Get().Say("operator: r9 adds /bells/ring/ (non_idempotent), confirmed "
+                    "at %.3f",
+                    confirmed);
+  const double from = confirmed + kConfigApplyS;
+  SleepUntil(from + 0.5);
+  std::vector<std::thread> ringers;
+  for (int n = 0; n < kRings; ++n) {
+    ringers.emplace_back([&] {
+      const Attempt it = SendRequest(
+        aWorld, kFrozen, "POST", kHost, "/bells/ring/school-7", 4000, "ring");
+      const std::scoped_lock lock(mutex);
+      rings.push_back(it);
+    });
+    Sleep(0.05);
+  }
+  SleepUntil(stopped + kFreezeS);
+  if (HasTrouble()) {
+    kill(aWorld.Pid(kFrozen), SIGCONT);
+    Record::Get().Say("machine %d goes on", kFrozen);
+  }
+  for (auto& it : ringers) {
+    it.join();
+  }
   sending = false;
   for (auto& it : callers) {
     it.join();
   }
-  if (rosters < 20 || booked == 0) {
-    return CouldNotRun("the first route was not served");
+  Sleep(1);
+  for (const int it : machines) {
+    if (!aWorld.Runs(it)) {
+      return CouldNotRun("a process ended by itself");
+    }
+  }
+
+  std::map<std::string, int> runs;
+  for (Upstream* it : servers) {
+    for (const auto& arrival : it->Arrivals()) {
+      ++runs[arrival.requestId];
+    }
+  }
+  int twice = 0;
+  double last = 0;
+  for (const auto& it : rings) {
+    if (it.sentAt > from && runs[it.id] > 1) {
+      ++twice;
+      last = std::max(last, it.sentAt);
+      Record::Get().Line("%s, sent at %.3f, ran %d times",
+                         it.id.c_str(),
+                         it.sentAt,
+                         runs[it.id]);
+    }
+  }
+  if (rings.empty()) {
+    return CouldNotRun("no request was sent on the added route");
   }
-  const double first = static_cast<double>(booked) / std::max(bookings.load(), 1);
-  const double later = static_cast<double>(served) / std::max(rosters.load(), 1);
-  Record::Get().Say("first route: %d of %d requests served (%.3f); added route: "
-                    "%d of %d (%.3f)",
-                    booked.load(),
-                    bookings.load(),
-                    first,
-                    served.load(),
-                    rosters.load(),
-                    later);
-  return later < first / 4 ? kBroken : kHeld;
+  Record::Get().Say("of %zu requests on the added route, sent after %.3f "
+                    "(past config-apply-s), %d ran more than once, the last "
+                    "one sent %.1f s after the confirmation",
+                    rings.size(),
+                    from,
+                    twice,
+                    twice > 0 ? last - confirmed : 0.0);
+  return twice > 0 ? kBroken : kHeld;
 }
 
 } // namespace
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,20 +1,36 @@
-// DRAIN: a node that acknowledged that its backend server goes is killed and
-// started again. A status report that was sent before and arrives late registers
-// the server anew, and requests reach it after drain-s.
+// TWICE: the connections to the store that are open go silent. A version that is
+// confirmed right after that adds a route whose requests may not be repeated. The
+// machines, in touch again, still handle its requests by an older, safe route.
 #include "harness.h"
 
+#include <set>
+
 using namespace review;
 
 namespace {
 
-// Machine 1 takes the requests; the servers of "work" are on 2 and 3.
-constexpr int kIngress = 1;
-constexpr int kLeaver = 2;
-constexpr int kOther = 3;
-constexpr int kCallers = 12;
-/** How late the report arrives, and how long the server goes on serving. */
-constexpr double kReportDelay = 2;
-constexpr double kStaysFor = 9;
+constexpr int kMachines = 6;
+const char* const kZones[] = { "regina-yard",
+                               "saskatoon-hall",
+                               "lethbridge-vault" };
+constexpr const char* kHost = "bells.example";
+/** Work on a request of the added route, below the target of 0.3 s. */
+constexpr double kRingWorkS = 0.25;
+
+/** All versions route /bells/ to "dispatch" as safe; r9 adds /bells/ring/. */
+std::string
+ConfigOf(int aVersion)
+{
+  Json routes{ { "r-bells", Route(kHost, "/bells/", "dispatch") } };
+  if (aVersion >= 6) {
+    routes["r-extra"] = Route("extra.example", "/extra/", "timetable");
+  }
+  if (aVersion >= 9) {
+    routes["r-ring"] = Route(kHost, "/bells/ring/", "dispatch");
+    routes["r-ring"]["kind"] = "non_idempotent";
+  }
+  return Config(aVersion, routes, { "dispatch", "timetable" });
+}
 
 int
 Run(World& aWorld)
@@ -23,111 +39,114 @@
   if (!store.Listen(aWorld.StoreIp(), kStorePort)) {
     return CouldNotRun("the store's port is taken");
   }
-  store.Put("op",
-            "config",
-            Config(5,
-                   { { "r-work", Route("work.example", "/work/", "work") },
-                     { "r-front", Route("front.example", "/front/", "front") } },
-                   { "work", "front" }));
-  const std::vector<int> machines{ kIngress, kLeaver, kOther };
-  std::map<int, Upstream*> upstreams;
-  for (const int n : machines) {
-    const std::string service = n == kIngress ? "front" : "work";
-    aWorld.WriteSettings(n, "regina-yard", service);
-    upstreams[n] = new Upstream(aWorld, n, service, "v1", "regina-yard");
-    if (!upstreams[n]->Start() || !aWorld.Start(n)) {
+  store.Put("op", "config", ConfigOf(5));
+  std::vector<int> machines;
+  std::vector<Upstream*> servers;
+  for (int n = 1; n <= kMachines; ++n) {
+    const std::string zone = kZones[n % 3];
+    const std::string service = n <= 3 ? "dispatch" : "timetable";
+    machines.push_back(n);
+    aWorld.WriteSettings(n, zone, service);
+    auto& upstream = *new Upstream(aWorld, n, service, "v1", zone);
+    upstream.SetWork("/bells/ring/", kRingWorkS);
+    servers.push_back(&upstream);
+    if (!upstream.Start() || !aWorld.Start(n)) {
       return CouldNotRun("a machine could not be started");
     }
-    upstreams[n]->BeginReports();
+    upstream.BeginReports();
   }
   if (!aWorld.WaitReady(machines, 15)) {
     return CouldNotRun("the nodes were not ready in time");
   }
-  Sleep(6);
+  Sleep(8);
 
+  // Callers read bell lists all the time, and ring once the route is added.
   std::atomic<bool> sending{ true };
+  std::atomic<bool> ringing{ false };
   std::mutex mutex;
-  std::vector<Attempt> attempts;
+  std::vector<Attempt> rings;
   std::vector<std::thread> callers;
-  for (int n = 0; n < kCallers; ++n) {
-    callers.emplace_back([&] {
+  for (const int machine : machines) {
+    callers.emplace_back([&, machine] {
       while (sending) {
-        const Attempt it = SendRequest(
-          aWorld, kIngress, "GET", "work.example", "/work/today", 1200);
-        {
+        SendRequest(aWorld, machine, "GET", kHost, "/bells/today", 1200);
+        Sleep(0.1);
+      }
+    });
+    callers.emplace_back([&, machine] {
+      while (sending) {
+        if (ringing) {
+          const Attempt it = SendRequest(
+            aWorld, machine, "POST", kHost, "/bells/ring/school-7", 1200, "ring");
           const std::scoped_lock lock(mutex);
-          attempts.push_back(it);
+          rings.push_back(it);
         }
-        Sleep(0.05);
+        Sleep(0.2);
       }
     });
   }
-  Sleep(4);
-  Upstream& leaver = *upstreams[kLeaver];
-  if (leaver.Arrivals().empty()) {
-    return CouldNotRun("the server that leaves got no requests before");
-  }
-
-  leaver.EndReports();
-  std::thread late;
+  Sleep(3);
+  const double first = store.Put("op", "config", ConfigOf(6));
+  Record::Get().Say("operator: r6 (a new route) confirmed at %.3f", first);
+  Sleep(0.5);
+  double silentAt = 0;
   if (HasTrouble()) {
-    const auto sequence = leaver.NextSequence();
-    Record::Get().Say("upstream: sends status report %llu (ready), which "
-                      "arrives %.1f s later",
-                      static_cast<unsigned long long>(sequence),
-                      kReportDelay);
-    late = std::thread([&leaver, sequence] {
-      const bool done = leaver.Report("ready", sequence, kReportDelay);
-      Record::Get().Say("the late report arrived: %s",
-                        done ? "acknowledged" : "not acknowledged");
-    });
+    store.SilenceOpenConnections();
+    silentAt = Now();
+    Record::Get().Say(
+      "open connections to the store went silent at %.3f; new ones work",
+      silentAt);
   }
   Sleep(0.05);
-  if (!leaver.Deregister()) {
-    return CouldNotRun("the sign-off was not acknowledged");
-  }
-  const double gone = Now();
-  Record::Get().Say("upstream: deregistered, acknowledged at %.3f", gone);
-  double started = 0;
-  if (HasTrouble()) {
-    Sleep(0.3);
-    aWorld.Kill(kLeaver);
-    Sleep(0.5);
-    aWorld.Start(kLeaver);
-    started = Now();
-    Record::Get().Say("the node beside it was killed, and started again at %.3f",
-                      started);
-  }
-  SleepUntil(gone + kStaysFor);
-  leaver.End();
-  Record::Get().Say("upstream: ended");
-  Sleep(1);
+  const double confirmed = store.Put("op", "config", ConfigOf(9));
+  Record::Get().Say("operator: r9 adds /bells/ring/ (non_idempotent), confirmed "
+                    "at %.3f",
+                    confirmed);
+  const double from = std::max(confirmed + kConfigApplyS,
+                               HasTrouble() ? silentAt + kContactS : 0);
+  SleepUntil(from + 0.05);
+  ringing = true;
+  Sleep(9);
   sending = false;
   for (auto& it : callers) {
     it.join();
   }
-  if (late.joinable()) {
-    late.join();
+  Sleep(1);
+  for (const int it : machines) {
+    if (!aWorld.Runs(it)) {
+      return CouldNotRun("a process ended by itself");
+    }
   }
 
-  // The node is in touch contact-s after its start; the ingress always is.
-  const double from =
-    std::max(gone + kDrainS, HasTrouble() ? started + kContactS : 0);
-  int after = 0;
+  std::map<std::string, int> runs;
+  for (Upstream* it : servers) {
+    for (const auto& arrival : it->Arrivals()) {
+      ++runs[arrival.requestId];
+    }
+  }
+  int twice = 0;
   double last = 0;
-  for (const auto& it : leaver.Arrivals()) {
-    if (it.at > from) {
-      ++after;
-      last = it.at;
+  for (const auto& it : rings) {
+    if (it.sentAt > from && runs[it.id] > 1) {
+      ++twice;
+      last = std::max(last, it.sentAt);
+      Record::Get().Line("%s, sent at %.3f, ran %d times",
+                         it.id.c_str(),
+                         it.sentAt,
+                         runs[it.id]);
     }
   }
-  Record::Get().Say("%d requests reached the server after %.3f (drain-s past the "
-                    "confirmation, all machines in touch), the last one %.1f s "
-                    "after the confirmation",
-                    after,
+  if (rings.empty()) {
+    return CouldNotRun("no request was sent on the added route");
+  }
+  Record::Get().Say("of %zu requests on the added route, sent after %.3f (in "
+                    "touch, past config-apply-s), %d ran more than once, the last "
+                    "one sent %.1f s after the confirmation",
+                    rings.size(),
                     from,
-                    after > 0 ? last - gone : 0.0);
-  return after > 0 ? kBroken : kHeld;
+                    twice,
+                    twice > 0 ? last - confirmed : 0.0);
+  return twice > 0 ? kBroken : kHeld;
 }
 
 } // namespace
