Hold calls after a pause until the configuration is confirmed

What callers saw: a VM stands still while an operator adds a non-idempotent route beneath an idempotent one.

Cause: CallForwarder::Close() held calls until the next routing view, and FleetCore::OnPause() published one from the old configuration at once. Any other reason for a view, such as a member's new state, ended the hold too.

Change: ConfigFreshness tracks as of when a node's configuration was known to be the newest. An answer of the store, or of a peer that is asked along a tree in each zone, counts from the time when its query was sent, on the boot clock. Close() lasts until a confirmation from after the pause, or 1 s.

Tests, which fail without the change: CallForwarderTest "after a pause calls are held until the configuration is confirmed" (answered by the old view) and "calls are held only for a limited time after a pause" (never opened).

--- a/include/knapweedpaddle/callers/CallForwarder.h
+++ b/include/knapweedpaddle/callers/CallForwarder.h
@@ -46,7 +46,12 @@
   /** Sets the routing view for further calls and resumes held calls. */
   void SetView(routing::RoutingViewPtr aView);
 
-  /** Holds new calls until the next routing view is set. */
+  /** Records the boot time at which the configuration of the last view was the
+   * newest one. */
+  void ConfirmConfig(Microseconds aAsOf);
+
+  /** Holds new calls until the configuration is confirmed as of now or later,
+   * but for a limited time, so that a node that reaches nobody serves. */
   void Close();
 
   /** Cancels a call. */
--- a/include/knapweedpaddle/node/ConfigAgent.h
+++ b/include/knapweedpaddle/node/ConfigAgent.h
@@ -29,6 +29,9 @@
     nodes::PeerClient& peers;
     /** Called after a newer version was applied. */
     std::function<void()> onApplied;
+    /** Called when the platform held no newer version than this node's at a
+     * boot time. */
+    std::function<void(Microseconds aAsOf)> onConfirmed;
     /** Called when this node starts or stops serving calls. */
     std::function<void()> onServingChange;
   };
@@ -73,6 +76,9 @@
 
 private:
   void ReadPlatformHead();
+  /** Applies the changes up to a version that the platform held at a boot time.
+   */
+  void CatchUp(std::uint64_t aHead, Microseconds aAsOf);
   void Pull(const std::string& aAddress);
   bool Apply(const nodes::PullAnswer& aAnswer);
 
--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -32,6 +32,9 @@
      * @param aFromStore  false when the configuration came from a peer.
      */
     std::function<void(bool aFromStore)> onApplied;
+    /** Called when the store held no newer configuration than this node's at a
+     * boot time. */
+    std::function<void(Microseconds aAsOf)> onConfirmed;
     /** Called with rollout orders read from the store. */
     std::function<void(const std::vector<operators::RolloutOrder>&)> onOrders;
     /** Called when this node finds that the store was restored from an older
@@ -79,9 +82,12 @@
   void QueryStoreIfNeeded();
   void ReadAll();
   void WaitForStoreChanges();
+  /** @param aAsOf  boot time at which the store held what it answered. */
   void OnStoreAnswer(const std::optional<operators::OrderUpdate>& aChanges,
-                     const store::StoreReason& aReason);
-  void OnStoreChanges(const operators::OrderUpdate& aChanges);
+                     const store::StoreReason& aReason,
+                     Microseconds aAsOf);
+  void OnStoreChanges(const operators::OrderUpdate& aChanges,
+                      Microseconds aAsOf);
   void SetStoreReachable(bool aReachable, const std::string& aReason);
   void Pull(const std::string& aAddress);
   bool ApplyAnswer(const nodes::PullAnswer& aAnswer,
@@ -109,6 +115,8 @@
   Timestamp mFirstQueryAt{};      ///< earliest time of the first store query
   Timestamp mLastPeerMessageAt{}; ///< arrival of the last message of any peer
   std::optional<bool> mStoreReachable;
+  /** The store's configuration can't be decoded, so this node lacks it. */
+  bool mIsStoreConfigUnreadable = false;
 };
 
 } // namespace knapweedpaddle::node
--- a/include/knapweedpaddle/node/ControlCore.h
+++ b/include/knapweedpaddle/node/ControlCore.h
@@ -3,6 +3,7 @@
 #include "knapweedpaddle/backends/Announcement.h"
 #include "knapweedpaddle/common/PauseDetector.h"
 #include "knapweedpaddle/node/ConfigAgent.h"
+#include "knapweedpaddle/node/ConfigFreshness.h"
 #include "knapweedpaddle/node/MemberAgent.h"
 #include "knapweedpaddle/node/MoveAgent.h"
 #include "knapweedpaddle/operators/ChangeAcceptor.h"
@@ -28,6 +29,9 @@
     std::function<void(const nodes::Datagram&)> send;
     /** Passes a new routing view to the traffic thread. */
     std::function<void(routing::RoutingViewPtr)> publish;
+    /** Passes the boot time at which the configuration of the last published
+     * view was the newest one. */
+    std::function<void(Microseconds)> confirm;
     /** Sets the backend server that calls are sent to, or none. */
     std::function<void(std::optional<backends::BackendServer>)> setBackend;
     /** Logs a change of the node's state. */
@@ -104,6 +108,7 @@
   PauseDetector mPauseDetector;
   MemberAgent mMembers;
   ConfigAgent mConfig;
+  ConfigFreshness mFreshness;
   operators::ChangeAcceptor mAcceptor;
   MoveAgent mMoves;
   /** Last announcement of this node's backend server, until it expires. */
--- a/include/knapweedpaddle/node/FleetCore.h
+++ b/include/knapweedpaddle/node/FleetCore.h
@@ -2,6 +2,7 @@
 
 #include "knapweedpaddle/backends/BackendServerTracker.h"
 #include "knapweedpaddle/node/ConfigFollower.h"
+#include "knapweedpaddle/node/ConfigFreshness.h"
 #include "knapweedpaddle/node/MemberAgent.h"
 #include "knapweedpaddle/node/RolloutAgent.h"
 #include "knapweedpaddle/settings/FleetSettings.h"
@@ -26,6 +27,9 @@
     nodes::PeerClient& peers;
     std::function<void(const nodes::Datagram&)> send;
     std::function<void(routing::RoutingViewPtr)> publish;
+    /** Passes the boot time at which the configuration of the last published
+     * view was the newest one. */
+    std::function<void(Microseconds)> confirm;
     std::function<void(const config::CallerLimits&)> setCallerLimits;
     /**
      * Sets the backend server to which this node passes calls, or none. The
@@ -104,6 +108,7 @@
   bool IsReady() const { return mConfig.HasConfig() && !mStopping; }
 
   const ConfigFollower& Config() const { return mConfig; }
+  const ConfigFreshness& Freshness() const { return mFreshness; }
   const nodes::Membership& Members() const { return mMemberAgent.Members(); }
 
 private:
@@ -119,6 +124,7 @@
   const settings::FleetSettings& mSettings;
   MemberAgent mMemberAgent;
   ConfigFollower mConfig;
+  ConfigFreshness mFreshness;
   RolloutAgent mRolloutAgent;
   backends::BackendServerTracker mBackendServer;
   routing::RouteTablePtr mRoutes; ///< routes of the current configuration
--- a/include/knapweedpaddle/nodes/DutyAssignment.h
+++ b/include/knapweedpaddle/nodes/DutyAssignment.h
@@ -23,6 +23,19 @@
             const std::string& aDuty,
             std::size_t aCount);
 
+/**
+ * Returns the member that this node asks whether its configuration is the
+ * newest. The members of a zone form a tree with its first configuration reader
+ * as the root, and ask their parents, so that no member answers many others.
+ * The root asks the first readers of other zones.
+ *
+ * @param aAttempt  number of queries that were not answered since the last
+ * answer; each leads to another member, if there is one.
+ * @return nothing if there is no member to ask.
+ */
+std::optional<NodeId>
+ConfirmationSource(const Membership& aMembership, std::size_t aAttempt);
+
 /** Returns whether a duty of this node's own zone is assigned to this node. */
 bool
 HoldsDuty(const Membership& aMembership,
--- a/include/knapweedpaddle/nodes/GossipMessage.h
+++ b/include/knapweedpaddle/nodes/GossipMessage.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "knapweedpaddle/common/Time.h"
 #include "knapweedpaddle/nodes/MemberRecord.h"
 
+#include <optional>
+
 namespace knapweedpaddle::nodes {
 
 /** Kind of a gossip message, with its number on the wire. */
@@ -12,14 +15,18 @@
   kPingRequest = 3, ///< asks the receiver to ping the target
   kVersionHint = 4, ///< announces the sender's configuration version
   kProgress = 5,    ///< carries move progress
+  kConfigQuery = 6, ///< asks whether the sender's configuration is the newest
+  kConfigAnswer = 7,
 };
 
-inline constexpr std::array<EnumName<GossipKind>, 5> kGossipKindNames{ {
+inline constexpr std::array<EnumName<GossipKind>, 7> kGossipKindNames{ {
   { GossipKind::kPing, "ping" },
   { GossipKind::kAck, "ack" },
   { GossipKind::kPingRequest, "ping_request" },
   { GossipKind::kVersionHint, "version_hint" },
   { GossipKind::kProgress, "progress" },
+  { GossipKind::kConfigQuery, "config_query" },
+  { GossipKind::kConfigAnswer, "config_answer" },
 } };
 
 /** Content of one gossip datagram. */
@@ -32,7 +39,11 @@
    * that replied to the ping. */
   NodeId target = kNoNode;
   std::uint64_t configVersion = 0;
-  std::uint64_t tableHash = 0; ///< hash of the sender's member table
+  /** In a kConfigAnswer the time since configVersion was known to be the newest
+   * version; nothing if it never was. */
+  std::optional<Milliseconds> configAge;
+  /** Hash of the sender's member table; 0 in messages about configurations. */
+  std::uint64_t tableHash = 0;
   std::vector<MemberUpdate> updates;
   std::vector<MoveProgress> moves;
 };
--- a/include/knapweedpaddle/nodes/Membership.h
+++ b/include/knapweedpaddle/nodes/Membership.h
@@ -106,6 +106,12 @@
   std::vector<Datagram> ProgressMessages(
     const std::vector<MoveProgress>& aMoves);
 
+  /**
+   * Returns a message about this node's configuration. It carries the pending
+   * updates in addition to the messages by which these are disseminated.
+   */
+  GossipMessage ConfigMessage(GossipKind aKind, std::uint32_t aSequence) const;
+
   /** All known members, including dead ones but not this node. */
   const std::map<NodeId, Member>& Members() const { return mMembers; }
 
@@ -154,7 +160,10 @@
   };
 
   GossipMessage MakeMessage(GossipKind aKind, std::uint32_t aSequence);
-  /** Adds pending updates to a message, the least often sent first. */
+  /** Returns the pending updates for one message, the least often sent first.
+   */
+  std::vector<MemberUpdate> NextUpdates() const;
+  /** Adds pending updates to a message and counts that they are sent. */
   void AttachUpdates(GossipMessage& aMessage);
   /** Adds the receiver's own record to a message if it is suspected or dead
    * here, so that the receiver can refute it. */
--- a/include/knapweedpaddle/runtime/EventLoop.h
+++ b/include/knapweedpaddle/runtime/EventLoop.h
@@ -40,6 +40,7 @@
 
   Timestamp Now() const override { return std::chrono::steady_clock::now(); }
   WallMilliseconds WallTime() const override { return WallNow(); }
+  Microseconds BootTime() const override { return knapweedpaddle::BootTime(); }
   TimerId RunAfter(Milliseconds aDelay, Task aTask) override;
 
   /** Runs a task repeatedly; the first run is after one interval. */
--- a/include/knapweedpaddle/runtime/Scheduler.h
+++ b/include/knapweedpaddle/runtime/Scheduler.h
@@ -27,6 +27,10 @@
   /** Returns the current wall clock time. */
   virtual WallMilliseconds WallTime() const = 0;
 
+  /** Returns the time since the VM was started, including the time during which
+   * it was suspended. */
+  virtual Microseconds BootTime() const = 0;
+
   /** Schedules a task to run once after a delay. */
   virtual TimerId RunAfter(Milliseconds aDelay, Task aTask) = 0;
 
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -31,7 +31,8 @@
 namespace {
 
 constexpr Milliseconds kMinTimeout{ 1 };
-/** A call that can't be forwarded yet is held for this long at most. */
+/** A call that can't be forwarded yet is held for this long at most. Close()
+ * has an effect for as long. */
 constexpr Milliseconds kMaxHold{ 1000 };
 /** A call is held for a third of its timeout at most, so that its caller has
  * time left to try another node. */
@@ -129,14 +130,30 @@
   void SetView(routing::RoutingViewPtr aView)
   {
     mView = std::move(aView);
-    mClosed = false;
     for (auto& [service, policy] : mRetryPolicies) {
       policy.SetOptions(mView->retries);
     }
-    mHeldCalls.ResumeAll();
+    if (!mClosedAt) {
+      mHeldCalls.ResumeAll();
+    }
   }
 
-  void Close() { mClosed = true; }
+  void ConfirmConfig(Microseconds aAsOf)
+  {
+    if (mClosedAt && aAsOf >= *mClosedAt) {
+      Open();
+    }
+  }
+
+  void Close()
+  {
+    mClosedAt = BootTime();
+    mServices.loop.Cancel(std::exchange(mOpenTimer, 0));
+    mOpenTimer = mServices.loop.RunAfter(kMaxHold, [this] {
+      mServices.metrics.Count("opened_unconfirmed_total", {});
+      Open();
+    });
+  }
 
   void BeginStop(const StopWindow& aWindow) { mStopWindow = aWindow; }
 
@@ -190,8 +207,16 @@
     return buf.data();
   }
 
+  /** Ends Close(). */
+  void Open()
+  {
+    mClosedAt.reset();
+    mServices.loop.Cancel(std::exchange(mOpenTimer, 0));
+    mHeldCalls.ResumeAll();
+  }
+
   /** Returns true if calls may be routed with the current view. */
-  bool IsOpen() const { return mView->open && !mClosed; }
+  bool IsOpen() const { return mView->open && !mClosedAt; }
 
   /** Admits a call and starts its first try; without a configuration, the call
    * is held. */
@@ -838,7 +863,9 @@
   std::unordered_set<CallPtr> mCalls; ///< calls without a result
   StopWindow mStopWindow;
   bool mDraining = false;
-  bool mClosed = false;
+  /** Boot time of Close(), until calls may be routed again. */
+  std::optional<Microseconds> mClosedAt;
+  runtime::EventLoop::TimerId mOpenTimer = 0;
 };
 
 CallForwarder::CallForwarder(Services aServices,
@@ -856,6 +883,12 @@
   mImpl->SetView(std::move(aView));
 }
 
+void
+CallForwarder::ConfirmConfig(Microseconds aAsOf)
+{
+  mImpl->ConfirmConfig(aAsOf);
+}
+
 void
 CallForwarder::Close()
 {
--- a/src/node/ConfigAgent.cpp
+++ b/src/node/ConfigAgent.cpp
@@ -39,19 +39,32 @@
 ConfigAgent::ReadPlatformHead()
 {
   const std::uint64_t generation = mGateGeneration;
-  mReader.ReadHead([this, generation](std::optional<std::uint64_t> aHead) {
-    if (generation != mGateGeneration || mGate.IsOpen()) {
-      return;
-    }
-    if (aHead) {
-      mGate.RecordPlatformVersion(*aHead);
-      mReader.CatchUp(*aHead, [this](bool) { UpdateGate(); });
-    }
-    mServices.scheduler.RunAfter(mBackoff.Next(mRandom), [this, generation] {
-      if (generation == mGateGeneration && !mGate.IsOpen()) {
-        ReadPlatformHead();
+  const Microseconds sentAt = mServices.scheduler.BootTime();
+  mReader.ReadHead(
+    [this, generation, sentAt](std::optional<std::uint64_t> aHead) {
+      if (generation != mGateGeneration || mGate.IsOpen()) {
+        return;
       }
+      if (aHead) {
+        mGate.RecordPlatformVersion(*aHead);
+        CatchUp(*aHead, sentAt);
+      }
+      mServices.scheduler.RunAfter(mBackoff.Next(mRandom), [this, generation] {
+        if (generation == mGateGeneration && !mGate.IsOpen()) {
+          ReadPlatformHead();
+        }
+      });
     });
+}
+
+void
+ConfigAgent::CatchUp(std::uint64_t aHead, Microseconds aAsOf)
+{
+  mReader.CatchUp(aHead, [this, aHead, aAsOf](bool) {
+    UpdateGate();
+    if (mStore.Version() >= aHead) {
+      mServices.onConfirmed(aAsOf);
+    }
   });
 }
 
@@ -115,9 +128,10 @@
 ConfigAgent::PollHead()
 {
   ++mHeadPolls;
-  mReader.ReadHead([this](std::optional<std::uint64_t> aHead) {
-    if (aHead && *aHead > mStore.Version()) {
-      mReader.CatchUp(*aHead, [](bool) {});
+  const Microseconds sentAt = mServices.scheduler.BootTime();
+  mReader.ReadHead([this, sentAt](std::optional<std::uint64_t> aHead) {
+    if (aHead) {
+      CatchUp(*aHead, sentAt);
     }
   });
 }
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -105,10 +105,12 @@
 {
   mIsQuerying = true;
   mServices.orders.ReadAll(
-    [this, generation = mQueryGeneration](
+    [this,
+     generation = mQueryGeneration,
+     sentAt = mServices.scheduler.BootTime()](
       const std::optional<OrderUpdate>& aChanges, const StoreReason& aReason) {
       if (generation == mQueryGeneration) {
-        OnStoreAnswer(aChanges, aReason);
+        OnStoreAnswer(aChanges, aReason, sentAt);
       }
     });
 }
@@ -125,21 +127,24 @@
   mServices.orders.Follow(
     *mRevision,
     wait,
-    [this, generation = mQueryGeneration](
+    [this,
+     generation = mQueryGeneration,
+     sentAt = mServices.scheduler.BootTime()](
       const std::optional<OrderUpdate>& aChanges, const StoreReason& aReason) {
       if (generation == mQueryGeneration) {
-        OnStoreAnswer(aChanges, aReason);
+        OnStoreAnswer(aChanges, aReason, sentAt);
       }
     });
 }
 
 void
 ConfigFollower::OnStoreAnswer(const std::optional<OrderUpdate>& aChanges,
-                              const StoreReason& aReason)
+                              const StoreReason& aReason,
+                              Microseconds aAsOf)
 {
   mLastQueryAnswered = aChanges.has_value();
   if (aChanges) {
-    OnStoreChanges(*aChanges);
+    OnStoreChanges(*aChanges, aAsOf);
   } else if (aReason.code == StoreError::kHistoryGone) {
     ReadAll();
   } else {
@@ -154,7 +159,7 @@
 }
 
 void
-ConfigFollower::OnStoreChanges(const OrderUpdate& aChanges)
+ConfigFollower::OnStoreChanges(const OrderUpdate& aChanges, Microseconds aAsOf)
 {
   mBackoff.Reset();
   SetStoreReachable(true, "");
@@ -165,6 +170,9 @@
   if (aChanges.configText) {
     ApplyConfigText(*aChanges.configText);
   }
+  if (HasConfig() && !mIsStoreConfigUnreadable) {
+    mServices.onConfirmed(aAsOf);
+  }
   if (!aChanges.rollouts.empty()) {
     mServices.onOrders(aChanges.rollouts);
   }
@@ -272,6 +280,7 @@
 {
   std::string reason;
   auto snapshot = mServices.orders.Decode(aText, reason);
+  mIsStoreConfigUnreadable = snapshot == nullptr;
   if (!snapshot) {
     LogUnreadableConfig("store", reason);
     return;
--- a/src/node/ControlCore.cpp
+++ b/src/node/ControlCore.cpp
@@ -44,11 +44,17 @@
               mServices.platform,
               mServices.peers,
               [this] { OnApplied(); },
+              [this](Microseconds aAsOf) { mFreshness.Confirm(aAsOf); },
               [this] {
                 UpdateSelf();
                 Publish();
               } },
             aRandomSeed + 1)
+  , mFreshness({ mServices.scheduler,
+                 mMembers.Members(),
+                 mServices.send,
+                 [this] { return mConfig.Version(); },
+                 mServices.confirm })
   , mAcceptor(mServices.platform,
               mConfig.Store(),
               mConfig.Reader(),
@@ -94,6 +100,7 @@
   }
   mPauseDetector.Tick(now);
   mMembers.Tick();
+  mFreshness.Tick();
   mConfig.UpdateGate();
   if (mViewDirty || mPublishedMembers != Members().ChangeCount()) {
     Publish();
@@ -117,12 +124,14 @@
 {
   mServices.logEvent("resumed_after_pause", "");
   mConfig.CloseGate();
+  mFreshness.QueryAtNextTick();
   mMembers.Bootstrap();
 }
 
 void
 ControlCore::Receive(const nodes::GossipMessage& aMessage)
 {
+  mFreshness.Receive(aMessage);
   mMembers.Receive(aMessage);
   mMoves.Merge(aMessage.moves);
   if (const std::string address = mMembers.LinkAddressOf(aMessage.sender);
--- a/src/node/ControlPlane.cpp
+++ b/src/node/ControlPlane.cpp
@@ -59,6 +59,7 @@
         [this](routing::RoutingViewPtr aView) {
           mTraffic->SetView(std::move(aView));
         },
+        [this](Microseconds aAsOf) { mTraffic->ConfirmConfig(aAsOf); },
         [this](std::optional<backends::BackendServer> aBackend) {
           mTraffic->SetBackend(std::move(aBackend), {});
         },
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -64,6 +64,7 @@
                   Members(), nodes::kConfigReaderDuty, kReadersPerZone);
               },
               [this](bool aFromStore) { OnConfigApplied(aFromStore); },
+              [this](Microseconds aAsOf) { mFreshness.Confirm(aAsOf); },
               [this](const std::vector<operators::RolloutOrder>& aOrders) {
                 mRolloutAgent.OnOrders(aOrders);
               },
@@ -77,6 +78,11 @@
                                    aReason);
               } },
             aSeed + 1)
+  , mFreshness({ mServices.scheduler,
+                 mMemberAgent.Members(),
+                 mServices.send,
+                 [this] { return mConfig.Version(); },
+                 mServices.confirm })
   , mRolloutAgent(
       { mServices.scheduler,
         mMemberAgent.Members(),
@@ -113,6 +119,7 @@
   const Timestamp now = mServices.scheduler.Now();
   mMemberAgent.Tick();
   mConfig.Tick();
+  mFreshness.Tick();
   mRolloutAgent.OnTick();
   if (mBackendServer.Expire(now,
                             mSettings.reportInterval * kMaxMissedReports)) {
@@ -132,14 +139,18 @@
 {
   mServices.logEvent("resumed_after_pause", "");
   mConfig.ReadStoreAgain();
+  mFreshness.QueryAtNextTick();
   mMemberAgent.Bootstrap();
-  Publish();
 }
 
 void
 FleetCore::Receive(const nodes::GossipMessage& aMessage)
 {
-  mConfig.OnPeerMessage();
+  if (aMessage.kind != nodes::GossipKind::kConfigQuery &&
+      aMessage.kind != nodes::GossipKind::kConfigAnswer) {
+    mConfig.OnPeerMessage();
+  }
+  mFreshness.Receive(aMessage);
   mMemberAgent.Receive(aMessage);
   mRolloutAgent.Merge(aMessage.moves);
   if (const std::string address = mMemberAgent.LinkAddressOf(aMessage.sender);
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -133,6 +133,7 @@
           [this](routing::RoutingViewPtr aView) {
             mTraffic.SetView(std::move(aView));
           },
+          [this](Microseconds aAsOf) { mTraffic.ConfirmConfig(aAsOf); },
           [this](const config::CallerLimits& aLimits) {
             mTraffic.SetCallerLimits(aLimits);
           },
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -100,6 +100,12 @@
   });
 }
 
+void
+TrafficPlane::ConfirmConfig(Microseconds aAsOf)
+{
+  mServices.loop.Post([this, aAsOf] { mForwarder.ConfirmConfig(aAsOf); });
+}
+
 void
 TrafficPlane::SetBackend(std::optional<backends::BackendServer> aBackend,
                          std::function<void()> aDone)
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -72,6 +72,10 @@
   /** Sets the routing view that calls follow. Any thread. */
   void SetView(routing::RoutingViewPtr aView);
 
+  /** Records the boot time at which the configuration of the last view was the
+   * newest one. Any thread. */
+  void ConfirmConfig(Microseconds aAsOf);
+
   /**
    * Sets this node's backend server, or none. Any thread.
    *
@@ -109,7 +113,7 @@
   void OnCall(nodes::LinkRequest aRequest,
               const nodes::LinkResponderPtr& aResponder);
   void OnTick();
-  /** Refuses calls after a pause, until the next routing view is set. */
+  /** Holds new calls after a pause, until the configuration is confirmed. */
   void CloseAfterPause();
 
   Services mServices;
--- a/src/nodes/DutyAssignment.cpp
+++ b/src/nodes/DutyAssignment.cpp
@@ -1,6 +1,7 @@
 #include "knapweedpaddle/nodes/DutyAssignment.h"
 
 #include <algorithm>
+#include <set>
 #include <xxhash.h>
 
 namespace knapweedpaddle::nodes {
@@ -27,6 +28,9 @@
   return aRecord.state == MemberState::kStarting;
 }
 
+/** Number of members that ask the same member. */
+constexpr std::size_t kConfirmationFanOut = 6;
+
 std::vector<NodeId>
 EligibleMembers(const Membership& aMembership,
                 const std::string& aZone,
@@ -65,6 +69,36 @@
   return nodes;
 }
 
+std::optional<NodeId>
+ConfirmationSource(const Membership& aMembership, std::size_t aAttempt)
+{
+  const MemberRecord& self = aMembership.Self();
+  const auto zoneMembers = DutyHolders(aMembership,
+                                       self.zone,
+                                       kConfigReaderDuty,
+                                       aMembership.Members().size() + 1);
+  const auto it = std::ranges::find(zoneMembers, self.node);
+  const auto rank = static_cast<std::size_t>(it - zoneMembers.begin());
+  if (rank > 0) {
+    const std::size_t parent = (rank - 1) / kConfirmationFanOut;
+    return zoneMembers[(parent + aAttempt) % rank];
+  }
+  std::set<std::string> zones;
+  for (const auto& [id, member] : aMembership.Members()) {
+    if (member.liveness == Liveness::kAlive &&
+        member.record.zone != self.zone) {
+      zones.insert(member.record.zone);
+    }
+  }
+  if (zones.empty()) {
+    return std::nullopt;
+  }
+  const auto zone = std::next(
+    zones.begin(), static_cast<std::ptrdiff_t>(aAttempt % zones.size()));
+  const auto readers = DutyHolders(aMembership, *zone, kConfigReaderDuty, 1);
+  return readers.empty() ? std::nullopt : std::optional(readers.front());
+}
+
 bool
 HoldsDuty(const Membership& aMembership,
           const std::string& aDuty,
--- a/src/nodes/GossipCodec.cpp
+++ b/src/nodes/GossipCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "wire.pb.h"
 
+#include <limits>
+
 namespace knapweedpaddle::nodes {
 
 namespace {
@@ -107,6 +109,11 @@
   out.set_target(static_cast<std::uint64_t>(aMessage.target));
   out.set_config_version(aMessage.configVersion);
   out.set_table_hash(aMessage.tableHash);
+  if (aMessage.configAge) {
+    constexpr std::int64_t kMaxAge = std::numeric_limits<std::uint32_t>::max();
+    out.set_config_age_ms(static_cast<std::uint32_t>(
+      std::min<std::int64_t>(aMessage.configAge->count(), kMaxAge)));
+  }
   for (const auto& it : aMessage.updates) {
     ToWire(it, *out.add_updates());
   }
@@ -134,6 +141,9 @@
   message.target = NodeId{ in.target() };
   message.configVersion = in.config_version();
   message.tableHash = in.table_hash();
+  if (in.has_config_age_ms()) {
+    message.configAge = Milliseconds(in.config_age_ms());
+  }
   if (!ReadUpdates(in.updates(), message.updates)) {
     return std::nullopt;
   }
--- a/src/nodes/Membership.cpp
+++ b/src/nodes/Membership.cpp
@@ -82,7 +82,9 @@
   }
   RememberVersion(aMessage.sender, aMessage.configVersion);
   ClearSuspicion(aMessage.sender, aNow);
-  CompareTables(aMessage.sender, aMessage.tableHash);
+  if (aMessage.tableHash != 0) {
+    CompareTables(aMessage.sender, aMessage.tableHash);
+  }
 
   switch (aMessage.kind) {
     case GossipKind::kPing:
@@ -117,6 +119,8 @@
       break;
     case GossipKind::kVersionHint:
     case GossipKind::kProgress:
+    case GossipKind::kConfigQuery:
+    case GossipKind::kConfigAnswer:
       break;
   }
   return out;
@@ -245,8 +249,20 @@
   return message;
 }
 
-void
-Membership::AttachUpdates(GossipMessage& aMessage)
+GossipMessage
+Membership::ConfigMessage(GossipKind aKind, std::uint32_t aSequence) const
+{
+  GossipMessage message;
+  message.kind = aKind;
+  message.sequence = aSequence;
+  message.sender = mSelf.node;
+  message.configVersion = mConfigVersion;
+  message.updates = NextUpdates();
+  return message;
+}
+
+std::vector<MemberUpdate>
+Membership::NextUpdates() const
 {
   std::vector<std::pair<std::uint32_t, NodeId>> queue;
   queue.reserve(mPendingUpdates.size());
@@ -254,18 +270,28 @@
     queue.emplace_back(sends, id);
   }
   std::ranges::sort(queue);
-  const std::uint32_t limit = RetransmitLimit();
+  std::vector<MemberUpdate> updates;
   for (const auto& [sends, id] : queue) {
-    if (aMessage.updates.size() == mOptions.maxUpdatesPerMessage) {
+    if (updates.size() == mOptions.maxUpdatesPerMessage) {
       break;
     }
     if (id == mSelf.node) {
-      aMessage.updates.push_back({ mSelf, Liveness::kAlive });
+      updates.push_back({ mSelf, Liveness::kAlive });
     } else if (const auto it = mMembers.find(id); it != mMembers.end()) {
-      aMessage.updates.push_back({ it->second.record, it->second.liveness });
+      updates.push_back({ it->second.record, it->second.liveness });
     }
-    if (++mPendingUpdates[id] >= limit) {
-      mPendingUpdates.erase(id);
+  }
+  return updates;
+}
+
+void
+Membership::AttachUpdates(GossipMessage& aMessage)
+{
+  aMessage.updates = NextUpdates();
+  const std::uint32_t limit = RetransmitLimit();
+  for (const auto& it : aMessage.updates) {
+    if (++mPendingUpdates[it.record.node] >= limit) {
+      mPendingUpdates.erase(it.record.node);
     }
   }
 }
@@ -464,7 +490,10 @@
     const bool old =
       aItem.second.liveness == Liveness::kDead &&
       aNow - aItem.second.livenessSince >= mOptions.deadRetention;
-    mChangeCount += old ? 1 : 0;
+    if (old) {
+      ++mChangeCount;
+      mPendingUpdates.erase(aItem.first);
+    }
     return old;
   });
 }
--- a/tests/callers/CallForwarderTest.cpp
+++ b/tests/callers/CallForwarderTest.cpp
@@ -5,6 +5,7 @@
 
 #include "fakes/FreeAddress.h"
 #include "knapweedpaddle/http/Server.h"
+#include "knapweedpaddle/nodes/LinkServer.h"
 #include "node/UnavailableClaims.h"
 
 #include <catch2/catch.hpp>
@@ -15,6 +16,10 @@
 namespace {
 
 const nodes::NodeId kSelf = *nodes::ParseNodeId("10.0.0.1:7100");
+const nodes::NodeId kPeer = *nodes::ParseNodeId("10.0.0.2:7100");
+constexpr Milliseconds kLatencyTarget{ 500 };
+/** The platform's limit until a configuration is in force. */
+constexpr Milliseconds kMaxConfigAge{ 2000 };
 
 struct Fixture
 {
@@ -32,6 +37,12 @@
                response.status = 200;
                aExchange->Respond(response);
              })
+    , peer(loop,
+           [this](const nodes::LinkRequest&,
+                  const nodes::LinkResponderPtr& aResponder) {
+             peerCalls.push_back(aResponder);
+           })
+    , peerPort(peer.Listen("127.0.0.1", 0).value_or(0))
     , dispatcher({ loop, claims, metrics, tracer, {} }, 0)
     , forwarder({ loop, links, dispatcher, metrics, tracer, journal },
                 { kSelf, "a" },
@@ -57,7 +68,9 @@
 
   /** Returns a view with a route to the service, with or without this node's
    * backend server. */
-  static routing::RoutingViewPtr View(bool aHasServer)
+  static routing::RoutingViewPtr View(
+    bool aHasServer,
+    config::CallClass aClass = config::CallClass::kIdempotent)
   {
     auto snapshot = std::make_shared<config::Snapshot>();
     config::RouteEntry route;
@@ -66,18 +79,40 @@
     route.pathPrefix = "/a/";
     route.service = "svc";
     route.timeout = Milliseconds(5000);
-    route.slowAfter = Milliseconds(500);
+    route.slowAfter = kLatencyTarget;
+    route.callClass = aClass;
     snapshot->entries[{ config::EntryKind::kRoute, "r" }] = route;
     auto view = std::make_shared<routing::RoutingView>(
       std::make_shared<const config::Snapshot>(*snapshot));
     view->open = true;
     view->splits["svc"] = {};
+    view->retries.retriesPerCall = 2;
     if (aHasServer) {
       view->targets["svc"] = { { kSelf, "", "a", "v1", 4, false } };
     }
     return view;
   }
 
+  /** Returns a view with this node's server and one on a node whose server
+   * answers no call. */
+  routing::RoutingViewPtr ViewWithPeer(
+    config::CallClass aClass = config::CallClass::kIdempotent) const
+  {
+    auto view = std::make_shared<routing::RoutingView>(*View(true, aClass));
+    view->targets["svc"].push_back(
+      { kPeer, "127.0.0.1:" + std::to_string(peerPort), "a", "v1", 4, false });
+    return view;
+  }
+
+  /** Confirms that the configuration was the newest one some time ago. */
+  void Confirm(Milliseconds aAge = Milliseconds(0))
+  {
+    forwarder.ConfirmConfig(BootTime() - aAge);
+  }
+
+  /** Returns how many servers have received calls without answering them. */
+  std::size_t CountRuns() const { return unanswered.size() + peerCalls.size(); }
+
   void RunLoopFor(Milliseconds aTime)
   {
     loop.RunAfter(aTime, [this] { loop.Stop(); });
@@ -91,11 +126,14 @@
   CallJournal journal;
   nodes::LinkClient links;
   http::Server server;
+  nodes::LinkServer peer;
+  std::uint16_t peerPort;
   backends::BackendDispatcher dispatcher;
   CallForwarder forwarder;
   std::vector<CallResult> results;
   bool isSilent = false; ///< the backend server answers no call
   std::vector<http::ExchangePtr> unanswered;
+  std::vector<nodes::LinkResponderPtr> peerCalls; ///< not answered either
 };
 
 } // namespace
@@ -181,3 +219,41 @@
   CHECK(it.results[2].outcome == CallOutcome::kUnknown);
   CHECK(it.forwarder.InFlight() == 0);
 }
+
+// Guards against calls that waited in sockets during a pause and are routed,
+// and repeated, by the configuration from before it.
+TEST_CASE("after a pause calls are held until the configuration is confirmed",
+          "[calls][pause]")
+{
+  Fixture it;
+  it.forwarder.SetView(Fixture::View(true));
+  it.Confirm();
+  it.forwarder.Close();
+  it.Call(Milliseconds(3000));
+  // Neither a view nor a confirmation from before the pause says that the
+  // configuration is still the newest one.
+  it.forwarder.SetView(Fixture::View(true));
+  it.Confirm(Milliseconds(100));
+  it.RunLoopFor(Milliseconds(100));
+  CHECK(it.results.empty());
+  it.Confirm();
+  it.RunLoopFor(Milliseconds(100));
+  REQUIRE(it.results.size() == 1);
+  CHECK(it.results[0].outcome == CallOutcome::kAnswered);
+}
+
+// Guards against a node that refuses all calls for as long as it reaches
+// neither the store nor a peer after a pause.
+TEST_CASE("calls are held only for a limited time after a pause",
+          "[calls][pause]")
+{
+  constexpr Milliseconds kMaxHold{ 1000 };
+  Fixture it;
+  it.forwarder.SetView(Fixture::View(true));
+  it.forwarder.Close();
+  it.RunLoopFor(kMaxHold + Milliseconds(100));
+  it.Call(Milliseconds(3000));
+  it.RunLoopFor(Milliseconds(100));
+  REQUIRE(it.results.size() == 1);
+  CHECK(it.results[0].outcome == CallOutcome::kAnswered);
+}
--- a/tests/fakes/FakeClock.h
+++ b/tests/fakes/FakeClock.h
@@ -22,8 +22,17 @@
   WallMilliseconds WallTime() const
   {
     return kWallStart +
-           std::chrono::duration_cast<Milliseconds>(mNow - kStart).count();
+           std::chrono::duration_cast<Milliseconds>(mNow - kStart + mSuspended)
+             .count();
   }
+  Microseconds BootTime() const
+  {
+    return std::chrono::duration_cast<Microseconds>(mNow - kStart) + mSuspended;
+  }
+
+  /** Advances the clocks that count the time in which a VM is suspended; Now()
+   * does not. */
+  void Suspend(Milliseconds aTime) { mSuspended += aTime; }
 
   /**
    * Schedules a task; a time in the past means now.
@@ -76,6 +85,7 @@
   static constexpr Timestamp kStart{ std::chrono::hours(1) };
 
   Timestamp mNow = kStart;
+  Milliseconds mSuspended{ 0 };
   std::uint64_t mLastId = 0;
   std::map<Key, Task> mQueue;
   std::map<std::uint64_t, Timestamp> mDueTimes;
@@ -92,6 +102,7 @@
 
   Timestamp Now() const override { return mClock.Now(); }
   WallMilliseconds WallTime() const override { return mClock.WallTime(); }
+  Microseconds BootTime() const override { return mClock.BootTime(); }
 
   TimerId RunAfter(Milliseconds aDelay, Task aTask) override
   {
--- a/tests/fakes/FakeFleet.cpp
+++ b/tests/fakes/FakeFleet.cpp
@@ -31,6 +31,7 @@
 
   Timestamp Now() const override { return mClock.Now(); }
   WallMilliseconds WallTime() const override { return mClock.WallTime(); }
+  Microseconds BootTime() const override { return mClock.BootTime(); }
 
   TimerId RunAfter(Milliseconds aDelay, Task aTask) override
   {
@@ -165,6 +166,7 @@
   aNode.incarnation = static_cast<std::uint64_t>(clock.WallTime());
   aNode.view.reset();
   aNode.configVersion = 0;
+  aNode.confirmedAt.reset();
   aNode.evidence.clear();
   aNode.scheduler = std::make_unique<FleetScheduler>(clock, aNode);
   aNode.store = std::make_unique<FakePlatform>(clock, shared, mRandom());
@@ -190,6 +192,7 @@
         aNode.configVersion = aView->config->version;
         aNode.view = std::move(aView);
       },
+      [this, &aNode](Microseconds aAsOf) { OnConfirmed(aNode, aAsOf); },
       [](const config::CallerLimits&) {},
       [](const std::optional<backends::BackendServer>&,
          const std::function<void()>& aDone) {
@@ -261,6 +264,26 @@
   store::Transaction transaction;
   transaction.writes.push_back({ "op/config", config.dump(), false });
   shared.table.Commit(transaction);
+  mConfigWrites.emplace_back(clock.BootTime(), aVersion);
+}
+
+void
+FakeFleet::OnConfirmed(NodeState& aNode, Microseconds aAsOf)
+{
+  aNode.confirmedAt = aAsOf;
+  for (const auto& [writtenAt, version] : mConfigWrites) {
+    outdatedConfirmed |= writtenAt <= aAsOf && version > aNode.configVersion;
+  }
+}
+
+bool
+FakeFleet::AllConfirmed(Milliseconds aMaxAge) const
+{
+  return std::ranges::all_of(nodes, [&](const NodeState& aNode) {
+    return aNode.incarnation == 0 ||
+           (aNode.confirmedAt &&
+            clock.BootTime() - *aNode.confirmedAt <= aMaxAge);
+  });
 }
 
 void
--- a/tests/fakes/FakeFleet.h
+++ b/tests/fakes/FakeFleet.h
@@ -33,6 +33,8 @@
     std::unique_ptr<node::FleetCore> core;
     routing::RoutingViewPtr view;
     std::uint64_t configVersion = 0; ///< Version of the view, 0 after a start.
+    /** Boot time at which that version was confirmed to be the newest. */
+    std::optional<Microseconds> confirmedAt;
     backends::EvidenceTable evidence;
   };
 
@@ -68,11 +70,18 @@
   /** True when every running node serves at least a configuration version. */
   bool AllServe(std::uint64_t aVersion) const;
 
+  /** True when the configuration of every running node was confirmed within a
+   * time. */
+  bool AllConfirmed(Milliseconds aMaxAge) const;
+
   FakeClock clock;
   SharedPlatform shared;
   std::deque<NodeState> nodes;
   double loss = 0;              ///< Share of datagrams that are lost.
   bool configRegressed = false; ///< A node went back to an older configuration.
+  /** A node's configuration was confirmed as of a time at which the store held
+   * a newer one. */
+  bool outdatedConfirmed = false;
   double failShare = 0; ///< Share of the calls to version "v2" that fail.
   std::uint64_t callsToNewVersion = 0; ///< Calls to version "v2".
   std::uint64_t totalCalls = 0;        ///< Calls to both versions.
@@ -86,6 +95,8 @@
   void Deliver(NodeState& aNode, Milliseconds aDelay, FakeClock::Task aTask);
   void Send(NodeState& aFrom, const nodes::Datagram& aDatagram);
 
+  void OnConfirmed(NodeState& aNode, Microseconds aAsOf);
+
   /** Sends the backend server's report to its node, again at each interval. */
   void Report(NodeState& aNode);
 
@@ -93,6 +104,8 @@
   void MakeCalls();
 
   std::mt19937_64 mRandom;
+  /** Boot time and version of each WriteConfig(). */
+  std::vector<std::pair<Microseconds, std::uint64_t>> mConfigWrites;
 
   /** Nodes that were restarted; queued tasks may still refer to them. */
   std::vector<NodeState> mEndedNodes;
--- a/tests/fakes/FakeMesh.cpp
+++ b/tests/fakes/FakeMesh.cpp
@@ -37,6 +37,7 @@
 
   Timestamp Now() const override { return mClock.Now(); }
   WallMilliseconds WallTime() const override { return mClock.WallTime(); }
+  Microseconds BootTime() const override { return mClock.BootTime(); }
 
   TimerId RunAfter(Milliseconds aDelay, Task aTask) override
   {
@@ -222,6 +223,7 @@
       [this, &aNode](routing::RoutingViewPtr aView) {
         OnView(aNode, std::move(aView));
       },
+      [](Microseconds) {},
       [](const std::optional<backends::BackendServer>&) {},
       [](const std::string&, const std::string&) {},
     },
