Repeat calls only under a configuration that was confirmed lately

What callers saw: all connections to the store that are open go silent, and a version confirmed right after that makes a route non-idempotent.

Cause: a reader waited up to 6.5 s for the answer to one query, and calls were retried and hedged by the class of the route that had admitted them, whatever the age of its configuration.

Change: RepeatPolicy decides for retries and hedges. A call that may have run is repeated only if the newest known route permits it as well, and if its configuration was confirmed no longer than config-apply-s before the call was received. The first reader of a zone waits 1 s in a query, not 5 s; a reader that was not confirmed for 1.6 s asks on another connection. Each zone costs the store 0.8 reads a second more, whatever its size. Callers in a zone that is cut off lose hedges and retries of calls that may have run; they may repeat these themselves, which a call that ran twice can't undo.

New: RepeatPolicyTest; ConfigFreshnessTest with silent connections, dying readers, suspensions and a soak of random faults; a fake store whose pending requests go silent.

--- a/include/knapweedpaddle/callers/CallForwarder.h
+++ b/include/knapweedpaddle/callers/CallForwarder.h
@@ -36,6 +36,8 @@
   {
     nodes::NodeId node = nodes::kNoNode;
     std::string zone;
+    /** Time within which an accepted configuration is in force on this node. */
+    Milliseconds maxConfigApplyTime{ 2000 };
   };
 
   CallForwarder(Services aServices, Identity aIdentity, std::uint64_t aSeed);
--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -8,6 +8,14 @@
 
 namespace knapweedpaddle::node {
 
+/** A node's part in the duty to follow the store for its zone. */
+enum class ReaderRole
+{
+  kNone,
+  kFirst,  ///< confirms the configuration for the zone
+  kBackup, ///< reads changes as well, and replaces a first reader that fails
+};
+
 /**
  * Keeps the newest configuration that operators wrote. Nodes that hold the
  * reader duty follow the store. The others pull changes from peers that have a
@@ -24,8 +32,11 @@
     runtime::Scheduler& scheduler;
     operators::OrderStore& orders;
     nodes::PeerClient& peers;
-    /** Returns whether this node holds the reader duty. */
-    std::function<bool()> isReader;
+    /** Returns this node's part in the reader duty. */
+    std::function<ReaderRole()> readerRole;
+    /** Returns the time since the configuration was last confirmed to be the
+     * newest, by the store or by peers; nothing if it never was. */
+    std::function<std::optional<Milliseconds>()> confirmationAge;
     /**
      * Called after a newer configuration was applied.
      *
@@ -82,12 +93,14 @@
   void QueryStoreIfNeeded();
   void ReadAll();
   void WaitForStoreChanges();
+  Milliseconds StoreWait() const;
+  bool IsQueryOverdue() const;
+  void CheckStore();
   /** @param aAsOf  boot time at which the store held what it answered. */
   void OnStoreAnswer(const std::optional<operators::OrderUpdate>& aChanges,
                      const store::StoreReason& aReason,
                      Microseconds aAsOf);
-  void OnStoreChanges(const operators::OrderUpdate& aChanges,
-                      Microseconds aAsOf);
+  void TakeChanges(const operators::OrderUpdate& aChanges, Microseconds aAsOf);
   void SetStoreReachable(bool aReachable, const std::string& aReason);
   void Pull(const std::string& aAddress);
   bool ApplyAnswer(const nodes::PullAnswer& aAnswer,
@@ -106,6 +119,10 @@
   /** Counts ReadStoreAgain() calls, to ignore answers to earlier queries. */
   std::uint64_t mQueryGeneration = 0;
   bool mIsQuerying = false; ///< a query or the wait to repeat it is pending
+  /** When the pending query was sent; nothing while none is pending. */
+  std::optional<Timestamp> mQuerySentAt;
+  std::optional<Timestamp> mCheckSentAt; ///< the same for CheckStore()
+  Timestamp mLastCheckAt{};
   /** The last query was answered, and the next one follows it at once. */
   bool mLastQueryAnswered = false;
   std::optional<std::uint64_t> mRevision; ///< last store revision read
--- a/include/knapweedpaddle/operators/OrderStore.h
+++ b/include/knapweedpaddle/operators/OrderStore.h
@@ -43,6 +43,7 @@
 {
   std::optional<std::string> configText; ///< configuration, not yet decoded
   std::vector<RolloutOrder> rollouts;
+  bool hasChanges = false; ///< whether any row is new, also an unreadable one
   std::uint64_t revision = 0; ///< to pass to OrderStore::Follow()
 };
 
--- a/include/knapweedpaddle/routing/RetryPolicy.h
+++ b/include/knapweedpaddle/routing/RetryPolicy.h
@@ -23,13 +23,16 @@
 enum class RetryRefusal
 {
   kMayHaveRun, ///< the call is at most once and may have run
+  /** The call may have run, and a newer configuration may forbid a repeat. */
+  kConfigUnconfirmed,
   kNoTimeLeft,
   kTooManyTries,
   kBudgetSpent,
 };
 
-inline constexpr std::array<EnumName<RetryRefusal>, 4> kRetryRefusalNames{ {
+inline constexpr std::array<EnumName<RetryRefusal>, 5> kRetryRefusalNames{ {
   { RetryRefusal::kMayHaveRun, "may_have_run" },
+  { RetryRefusal::kConfigUnconfirmed, "config_unconfirmed" },
   { RetryRefusal::kNoTimeLeft, "no_time_left" },
   { RetryRefusal::kTooManyTries, "too_many_tries" },
   { RetryRefusal::kBudgetSpent, "budget_spent" },
--- a/include/knapweedpaddle/settings/FleetSettings.h
+++ b/include/knapweedpaddle/settings/FleetSettings.h
@@ -26,6 +26,8 @@
   Milliseconds reportInterval{ 1500 };
   /** Time from the stop signal until the platform kills the process. */
   Milliseconds gracePeriod{ 6000 };
+  /** Time within which an accepted configuration is in force on this node. */
+  Milliseconds configApplyTime{ 2000 };
   /** Rate of the VM's network link, in Mbit/s; 0 if it is not known. */
   double linkMbps = 0;
   /** Retries allowed per call, over all nodes together. */
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -6,6 +6,7 @@
 #include "knapweedpaddle/nodes/CallCodec.h"
 #include "knapweedpaddle/routing/LoadBalancer.h"
 #include "knapweedpaddle/routing/LowDiscrepancySequence.h"
+#include "knapweedpaddle/routing/RepeatPolicy.h"
 #include "knapweedpaddle/routing/RetryPolicy.h"
 #include "knapweedpaddle/telemetry/Log.h"
 #include "knapweedpaddle/telemetry/LogRateLimiter.h"
@@ -91,6 +92,7 @@
     config::RouteEntry route;
     std::string service; ///< service of the route chosen for this call
     Timestamp receivedAt;
+    Microseconds receivedAtBoot{}; ///< receivedAt as a boot time, or later
     std::int64_t receivedAtWallMicroseconds = 0;
     Timestamp deadline;
     Timestamp targetDeadline; ///< when the latency target ends
@@ -123,6 +125,7 @@
     , mBalancer(routing::LoadBalancerOptions{}, aSeed)
     , mRandom(aSeed + 1)
     , mView(std::make_shared<routing::RoutingView>())
+    , mRepeats(mIdentity.maxConfigApplyTime)
     , mHeldCalls(aServices.loop)
   {
   }
@@ -140,6 +143,7 @@
 
   void ConfirmConfig(Microseconds aAsOf)
   {
+    mRepeats.Confirm(aAsOf);
     if (mClosedAt && aAsOf >= *mClosedAt) {
       Open();
     }
@@ -182,6 +186,9 @@
     call->receivedAt = call->request.receivedAt == Timestamp{}
                          ? Now()
                          : call->request.receivedAt;
+    call->receivedAtBoot =
+      BootTime() -
+      std::chrono::duration_cast<Microseconds>(Now() - call->receivedAt);
     call->receivedAtWallMicroseconds = WallMicroseconds();
     const auto parent = mServices.tracer.Begin(call->request.traceparent);
     call->parentSpan = parent.spanId;
@@ -293,12 +300,10 @@
     if (mDraining) {
       return "this node is shutting down";
     }
-    const std::string& path = aCall.request.path;
-    const config::RouteEntry* route =
-      mView->FindRoute(aCall.request.host, path.substr(0, path.find('?')));
+    const config::RouteEntry* route = FindRoute(aCall.request);
     if (!route) {
       aCall.failure.emplace().routeMissing = true;
-      return "no route matches path \"" + path + "\" of host \"" +
+      return "no route matches path \"" + aCall.request.path + "\" of host \"" +
              aCall.request.host + "\"";
     }
     aCall.route = *route;
@@ -330,6 +335,21 @@
     return {};
   }
 
+  /** Returns the route of a request in the newest known configuration. */
+  const config::RouteEntry* FindRoute(const CallRequest& aRequest) const
+  {
+    return mView->FindRoute(aRequest.host,
+                            aRequest.path.substr(0, aRequest.path.find('?')));
+  }
+
+  /** Returns why a call that may have run must not run again, if it must not.
+   */
+  std::optional<routing::RetryRefusal> CheckRepeat(const Call& aCall) const
+  {
+    return mRepeats.CheckRepeat(
+      aCall.route.callClass, FindRoute(aCall.request), aCall.receivedAtBoot);
+  }
+
   bool CrashesServers(const Call& aCall) const
   {
     const CallRequest& request = aCall.request;
@@ -600,10 +620,7 @@
                             aCall->deadline,
                             arrived ? aCall->route.maxTries : kUnlimitedTries,
                             arrived };
-    if (const auto refusal =
-          aCall->triesNotArrived > kMaxTriesNotArrived
-            ? std::optional(routing::RetryRefusal::kTooManyTries)
-            : RetryPolicyFor(aCall->service).CheckRetry(failed, Now())) {
+    if (const auto refusal = CheckRetry(*aCall, failed)) {
       const std::string name(NameOf(routing::kRetryRefusalNames, *refusal));
       aCall->steps.push_back("no retry: " + name);
       mServices.metrics.Count("retries_refused_total", { { "reason", name } });
@@ -621,6 +638,22 @@
     }
   }
 
+  /** Returns why a call is not retried after a failed try; takes the retry
+   * from the budget if it is. */
+  std::optional<routing::RetryRefusal> CheckRetry(const Call& aCall,
+                                                  const FailedTry& aFailed)
+  {
+    if (aCall.triesNotArrived > kMaxTriesNotArrived) {
+      return routing::RetryRefusal::kTooManyTries;
+    }
+    if (aCall.mayHaveRun) {
+      if (const auto refusal = CheckRepeat(aCall)) {
+        return refusal;
+      }
+    }
+    return RetryPolicyFor(aCall.service).CheckRetry(aFailed, Now());
+  }
+
   void EndTry(const CallPtr& aCall,
               const std::string& aTry,
               bool aOwnerAnswered,
@@ -680,8 +713,16 @@
     }
     aCall->hedgeTimer = mServices.loop.RunAfter(*delay, [this, aCall] {
       aCall->hedgeTimer = 0;
-      if (aCall->active.size() == 1 && aCall->triesSent == 1 &&
-          RetryPolicyFor(aCall->service).TakeHedge(Now()) && StartTry(aCall)) {
+      if (aCall->active.size() != 1 || aCall->triesSent != 1) {
+        return;
+      }
+      if (const auto refusal = CheckRepeat(*aCall)) {
+        const std::string name(NameOf(routing::kRetryRefusalNames, *refusal));
+        aCall->steps.push_back("no hedge: " + name);
+        mServices.metrics.Count("hedges_refused_total", { { "reason", name } });
+        return;
+      }
+      if (RetryPolicyFor(aCall->service).TakeHedge(Now()) && StartTry(aCall)) {
         mServices.metrics.Count("hedges_total", {});
       }
     });
@@ -849,6 +890,7 @@
   routing::LoadBalancer mBalancer;
   std::mt19937_64 mRandom;
   routing::RoutingViewPtr mView;
+  routing::RepeatPolicy mRepeats;
   /** Retry policies, keyed by service. */
   std::unordered_map<std::string, routing::RetryPolicy> mRetryPolicies;
   std::unordered_map<std::string, RateLimit> mLimits;
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -13,9 +13,14 @@
 
 constexpr Milliseconds kFirstRetryDelay{ 100 };
 constexpr Milliseconds kMaxRetryDelay{ 1000 };
-/** Longest wait for a change in one query. It limits how long a broken
- * connection to the store goes unnoticed. */
-constexpr Milliseconds kMaxStoreWait{ 5000 };
+/** Longest wait for a change in one query. The answers of the first reader
+ * confirm the configuration for its whole zone. */
+constexpr Milliseconds kMaxStoreWait{ 1000 };
+constexpr Milliseconds kMaxBackupStoreWait{ 5000 };
+/** A reader whose configuration was not confirmed for this time, and whose
+ * query is pending for as long, checks the store by another connection. */
+constexpr Milliseconds kMaxUnconfirmedTime{ 1600 };
+constexpr Milliseconds kCheckInterval{ 1000 };
 /** A starting node waits a random time up to this for a peer's configuration,
  * so that many nodes that start together do not read the store all at once. */
 constexpr Milliseconds kMaxStartDelay{ 500 };
@@ -68,7 +73,8 @@
   if (!HasConfig() && !mRevision) {
     return now >= mFirstQueryAt;
   }
-  const bool isReader = now >= mReaderDutyFrom && mServices.isReader();
+  const bool isReader =
+    now >= mReaderDutyFrom && mServices.readerRole() != ReaderRole::kNone;
   return isReader || now - mLastPeerMessageAt > kMaxTimeWithoutPeerMessage;
 }
 
@@ -77,6 +83,8 @@
 {
   if (!mIsQuerying && ShouldQueryStore()) {
     QueryStore();
+  } else if (IsQueryOverdue()) {
+    CheckStore();
   }
 }
 
@@ -104,6 +112,7 @@
 ConfigFollower::ReadAll()
 {
   mIsQuerying = true;
+  mQuerySentAt = mServices.scheduler.Now();
   mServices.orders.ReadAll(
     [this,
      generation = mQueryGeneration,
@@ -115,25 +124,40 @@
     });
 }
 
-void
-ConfigFollower::WaitForStoreChanges()
+Milliseconds
+ConfigFollower::StoreWait() const
 {
-  mIsQuerying = true;
   // A store that was restored since the last answer could hold a query from a
   // revision that it gave out again for the whole wait. An immediate answer
   // tells whether it was.
-  const Milliseconds wait =
-    mLastQueryAnswered ? kMaxStoreWait : Milliseconds(0);
+  if (!mLastQueryAnswered) {
+    return Milliseconds(0);
+  }
+  return mServices.readerRole() == ReaderRole::kBackup ? kMaxBackupStoreWait
+                                                       : kMaxStoreWait;
+}
+
+void
+ConfigFollower::WaitForStoreChanges()
+{
+  mIsQuerying = true;
+  mQuerySentAt = mServices.scheduler.Now();
+  const Milliseconds wait = StoreWait();
   mServices.orders.Follow(
     *mRevision,
     wait,
     [this,
+     wait,
      generation = mQueryGeneration,
      sentAt = mServices.scheduler.BootTime()](
       const std::optional<OrderUpdate>& aChanges, const StoreReason& aReason) {
-      if (generation == mQueryGeneration) {
-        OnStoreAnswer(aChanges, aReason, sentAt);
+      if (generation != mQueryGeneration) {
+        return;
       }
+      // The store answers without a change only at the end of the wait.
+      const bool waited = aChanges && !aChanges->hasChanges &&
+                          mServices.scheduler.BootTime() - sentAt >= wait;
+      OnStoreAnswer(aChanges, aReason, waited ? sentAt + wait : sentAt);
     });
 }
 
@@ -142,9 +166,11 @@
                               const StoreReason& aReason,
                               Microseconds aAsOf)
 {
+  mQuerySentAt.reset();
   mLastQueryAnswered = aChanges.has_value();
   if (aChanges) {
-    OnStoreChanges(*aChanges, aAsOf);
+    TakeChanges(*aChanges, aAsOf);
+    QueryStoreIfNeeded();
   } else if (aReason.code == StoreError::kHistoryGone) {
     ReadAll();
   } else {
@@ -159,7 +185,7 @@
 }
 
 void
-ConfigFollower::OnStoreChanges(const OrderUpdate& aChanges, Microseconds aAsOf)
+ConfigFollower::TakeChanges(const OrderUpdate& aChanges, Microseconds aAsOf)
 {
   mBackoff.Reset();
   SetStoreReachable(true, "");
@@ -179,7 +205,47 @@
   if (isRestored) {
     mServices.onStoreRestored();
   }
-  QueryStoreIfNeeded();
+}
+
+bool
+ConfigFollower::IsQueryOverdue() const
+{
+  const Timestamp now = mServices.scheduler.Now();
+  if (!mRevision || !mQuerySentAt || mCheckSentAt ||
+      now - *mQuerySentAt < kMaxUnconfirmedTime ||
+      now - mLastCheckAt < kCheckInterval || !ShouldQueryStore()) {
+    return false;
+  }
+  const auto age = mServices.confirmationAge();
+  return !age || *age > kMaxUnconfirmedTime;
+}
+
+void
+ConfigFollower::CheckStore()
+{
+  mLastCheckAt = mServices.scheduler.Now();
+  mCheckSentAt = mLastCheckAt;
+  mServices.orders.Follow(
+    *mRevision,
+    Milliseconds(0),
+    [this,
+     generation = mQueryGeneration,
+     sentAt = mServices.scheduler.BootTime()](
+      const std::optional<OrderUpdate>& aChanges, const StoreReason&) {
+      mCheckSentAt.reset();
+      if (!aChanges || generation != mQueryGeneration) {
+        return;
+      }
+      TakeChanges(*aChanges, sentAt);
+      if (mQuerySentAt) {
+        // The pending query was sent earlier: its connection went silent, or a
+        // backup reader waits for longer than the zone can do without it.
+        ++mQueryGeneration;
+        mQuerySentAt.reset();
+        mLastQueryAnswered = true;
+        QueryStoreIfNeeded();
+      }
+    });
 }
 
 void
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -25,6 +25,17 @@
 /** Share of FleetSettings::retryBudgetSlack that all nodes together may use. */
 constexpr double kGrantedRetrySlackShare = 0.7;
 
+ReaderRole
+ReaderRoleOf(const nodes::Membership& aMembers)
+{
+  if (nodes::HoldsDuty(aMembers, nodes::kConfigReaderDuty, 1)) {
+    return ReaderRole::kFirst;
+  }
+  return nodes::HoldsDuty(aMembers, nodes::kConfigReaderDuty, kReadersPerZone)
+           ? ReaderRole::kBackup
+           : ReaderRole::kNone;
+}
+
 std::string
 RevisionText(std::uint64_t aRevision)
 {
@@ -59,10 +70,8 @@
   , mConfig({ mServices.scheduler,
               mServices.orders,
               mServices.peers,
-              [this] {
-                return nodes::HoldsDuty(
-                  Members(), nodes::kConfigReaderDuty, kReadersPerZone);
-              },
+              [this] { return ReaderRoleOf(Members()); },
+              [this] { return mFreshness.Age(); },
               [this](bool aFromStore) { OnConfigApplied(aFromStore); },
               [this](Microseconds aAsOf) { mFreshness.Confirm(aAsOf); },
               [this](const std::vector<operators::RolloutOrder>& aOrders) {
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -76,6 +76,7 @@
   options.linkPort = aSettings.firstPort;
   options.callerAddress = aSettings.callerAddress;
   options.zone = aSettings.zone;
+  options.maxConfigApplyTime = aSettings.configApplyTime;
   options.linkBytesPerMs = aSettings.linkMbps * kBytesPerMsPerMbps;
   options.callerDialect = aPlatform.callerDialect;
   options.backendDialect = aPlatform.backendDialect;
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -41,7 +41,7 @@
                  mServices.metrics,
                  mServices.tracer,
                  mServices.journal },
-               { mOptions.node, mOptions.zone },
+               { mOptions.node, mOptions.zone, mOptions.maxConfigApplyTime },
                aRandomSeed)
   , mBodies(mDispatcher,
             mServices.metrics,
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -54,6 +54,8 @@
     std::string callerAddress; ///< "IP:port" that callers connect to
     std::string zone;
     std::uint32_t checkSlots = 0; ///< slots kept for calls of class check
+    /** Time within which an accepted configuration is in force on this node. */
+    Milliseconds maxConfigApplyTime{ 7000 };
     double linkBytesPerMs = 0; ///< rate of the VM's link; 0 if it is not known
     callers::CallerDialect callerDialect;
     backends::BackendDialect backendDialect;
--- a/tests/callers/CallForwarderTest.cpp
+++ b/tests/callers/CallForwarderTest.cpp
@@ -257,3 +257,44 @@
   REQUIRE(it.results.size() == 1);
   CHECK(it.results[0].outcome == CallOutcome::kAnswered);
 }
+
+// Guards against calls that run twice since an outdated configuration takes
+// them for idempotent ones.
+TEST_CASE("a call is hedged only by a configuration that was confirmed lately",
+          "[calls][hedge]")
+{
+  Fixture it;
+  it.isSilent = true;
+  it.forwarder.SetView(it.ViewWithPeer());
+  SECTION("never confirmed")
+  {
+    it.Call(Milliseconds(5000));
+    it.RunLoopFor(kLatencyTarget);
+    CHECK(it.CountRuns() == 1);
+  }
+  SECTION("confirmed too long ago")
+  {
+    it.Confirm(kMaxConfigAge + Milliseconds(1));
+    it.Call(Milliseconds(5000));
+    it.RunLoopFor(kLatencyTarget);
+    CHECK(it.CountRuns() == 1);
+  }
+  SECTION("confirmed while the call runs")
+  {
+    it.Call(Milliseconds(5000));
+    it.RunLoopFor(kLatencyTarget / 4);
+    it.Confirm(kMaxConfigAge / 2);
+    it.RunLoopFor(kLatencyTarget);
+    CHECK(it.CountRuns() == 2);
+  }
+  SECTION("confirmed, and a newer version forbids that the call runs twice")
+  {
+    it.Confirm();
+    it.Call(Milliseconds(5000));
+    it.RunLoopFor(kLatencyTarget / 4);
+    it.forwarder.SetView(it.ViewWithPeer(config::CallClass::kAtMostOnce));
+    it.Confirm();
+    it.RunLoopFor(kLatencyTarget);
+    CHECK(it.CountRuns() == 1);
+  }
+}
--- a/tests/fakes/FakeFleet.cpp
+++ b/tests/fakes/FakeFleet.cpp
@@ -324,6 +324,14 @@
   setFault(PlatformFault::kNone);
 }
 
+void
+FakeFleet::SilenceStoreConnections()
+{
+  for (auto& it : nodes) {
+    it.store->SilencePendingRequests();
+  }
+}
+
 std::string
 FakeFleet::RolloutState() const
 {
--- a/tests/fakes/FakeFleet.h
+++ b/tests/fakes/FakeFleet.h
@@ -64,6 +64,9 @@
   void RestoreStore(const standins::InMemoryStore& aCopy,
                     const std::function<void()>& aRewrite);
 
+  /** Silences the connections to the store that all nodes have open. */
+  void SilenceStoreConnections();
+
   /** Returns the state in the rollout's status row, or "" without a row. */
   std::string RolloutState() const;
 
--- a/tests/fakes/FakePlatform.h
+++ b/tests/fakes/FakePlatform.h
@@ -5,8 +5,10 @@
 #include "knapweedpaddle/store/StoreClient.h"
 #include "standins/InMemoryStore.h"
 
+#include <map>
 #include <memory>
 #include <random>
+#include <utility>
 
 namespace knapweedpaddle::fakes {
 
@@ -56,6 +58,20 @@
 
   void SetFaultPlan(FaultPlan aPlan) { mPlan = std::move(aPlan); }
 
+  /** Lets the requests that are pending time out, as when their connections go
+   * silent. Later requests are not affected. */
+  void SilencePendingRequests()
+  {
+    for (const auto& [id, request] : std::exchange(mPending, {})) {
+      mClock.ScheduleAt(request.deadline,
+                        [disconnected = mDisconnected, fail = request.fail] {
+                          if (!*disconnected) {
+                            fail();
+                          }
+                        });
+    }
+  }
+
   /** Drops all answers from now on, as when the process has ended. */
   void Disconnect() { *mDisconnected = true; }
 
@@ -101,45 +117,11 @@
               Milliseconds aWait,
               TableCallback aCallback) override
   {
-    static constexpr Milliseconds kPollInterval{ 20 };
-    const std::uint64_t after = store::VersionInHistory(aAfter);
-    if (aWait > Milliseconds(0) && after <= mShared.table.Revision() &&
-        mShared.table.ChangesAfter(aTable, after).rows.empty()) {
-      mClock.ScheduleAt(
-        mClock.Now() + kPollInterval,
-        [this,
-         disconnected = mDisconnected,
-         history = mShared.table.History(),
-         aTable,
-         aAfter,
-         aWait,
-         aCallback] {
-          if (*disconnected) {
-            return;
-          }
-          if (history != mShared.table.History()) {
-            store::StoreReason reason;
-            reason.Set(store::StoreError::kOutcomeUnknown, "store restored");
-            aCallback(std::nullopt, reason);
-            return;
-          }
-          Follow(aTable, aAfter, aWait - kPollInterval, aCallback);
-        });
-      return;
-    }
-    Request<store::TableRows>(
-      false,
-      [this, aTable, aAfter, after](
-        store::StoreReason& aReason) -> std::optional<store::TableRows> {
-        ++mShared.reads;
-        if (after > mShared.table.Revision() ||
-            store::HistoryOf(aAfter) != mShared.table.History()) {
-          aReason.Set(store::StoreError::kHistoryGone, "unknown revision");
-          return std::nullopt;
-        }
-        return WithHistory(mShared.table.ChangesAfter(aTable, after));
-      },
-      std::move(aCallback));
+    FollowUntil(
+      std::move(aTable),
+      aAfter,
+      aWait,
+      Pending<store::TableRows>(aWait + kRequestTimeout, std::move(aCallback)));
   }
 
   void Commit(store::Transaction aTransaction, DoneCallback aCallback) override
@@ -199,6 +181,80 @@
   static constexpr Milliseconds kRequestTimeout{ 1000 };
   static constexpr Milliseconds kLateWriteDelay{ 700 };
 
+  struct PendingRequest
+  {
+    Timestamp deadline; ///< when the client gives up
+    std::function<void()> fail;
+  };
+
+  /** Returns a callback that runs unless the request was silenced meanwhile. */
+  template<typename T, typename Callback>
+  std::function<void(std::optional<T>, const store::StoreReason&)> Pending(
+    Milliseconds aTimeout,
+    Callback aCallback)
+  {
+    const std::uint64_t id = ++mLastRequest;
+    mPending[id] = { mClock.Now() + aTimeout, [aCallback] {
+                      store::StoreReason reason;
+                      reason.Set(store::StoreError::kOutcomeUnknown,
+                                 "the connection is silent");
+                      aCallback(std::nullopt, reason);
+                    } };
+    return [this, id, aCallback](std::optional<T> aResult,
+                                 const store::StoreReason& aReason) {
+      if (mPending.erase(id) > 0) {
+        aCallback(std::move(aResult), aReason);
+      }
+    };
+  }
+
+  /** Polls the table until it changes or the wait ends. */
+  void FollowUntil(std::string aTable,
+                   std::uint64_t aAfter,
+                   Milliseconds aWait,
+                   TableCallback aCallback)
+  {
+    static constexpr Milliseconds kPollInterval{ 20 };
+    const std::uint64_t after = store::VersionInHistory(aAfter);
+    if (aWait > Milliseconds(0) && after <= mShared.table.Revision() &&
+        mShared.table.ChangesAfter(aTable, after).rows.empty()) {
+      mClock.ScheduleAt(
+        mClock.Now() + kPollInterval,
+        [this,
+         disconnected = mDisconnected,
+         history = mShared.table.History(),
+         aTable,
+         aAfter,
+         aWait,
+         aCallback] {
+          if (*disconnected) {
+            return;
+          }
+          if (history != mShared.table.History()) {
+            store::StoreReason reason;
+            reason.Set(store::StoreError::kOutcomeUnknown, "store restored");
+            aCallback(std::nullopt, reason);
+            return;
+          }
+          FollowUntil(aTable, aAfter, aWait - kPollInterval, aCallback);
+        });
+      return;
+    }
+    Request<store::TableRows>(
+      false,
+      [this, aTable, aAfter, after](
+        store::StoreReason& aReason) -> std::optional<store::TableRows> {
+        ++mShared.reads;
+        if (after > mShared.table.Revision() ||
+            store::HistoryOf(aAfter) != mShared.table.History()) {
+          aReason.Set(store::StoreError::kHistoryGone, "unknown revision");
+          return std::nullopt;
+        }
+        return WithHistory(mShared.table.ChangesAfter(aTable, after));
+      },
+      std::move(aCallback));
+  }
+
   /** Adds the store's history to the revisions of rows. */
   std::vector<store::Row> WithHistory(std::vector<store::Row> aRows) const
   {
@@ -252,12 +308,13 @@
   {
     const PlatformFault fault = mPlan ? mPlan(aIsWrite) : PlatformFault::kNone;
     const Timestamp now = mClock.Now();
+    const auto callback = Pending<T>(kRequestTimeout, std::move(aCallback));
     const auto answer =
-      [this, disconnected = mDisconnected, aCallback](
+      [this, disconnected = mDisconnected, callback](
         Timestamp aWhen, std::optional<T> aResult, store::StoreReason aReason) {
-        mClock.ScheduleAt(aWhen, [disconnected, aCallback, aResult, aReason] {
+        mClock.ScheduleAt(aWhen, [disconnected, callback, aResult, aReason] {
           if (!*disconnected) {
-            aCallback(aResult, aReason);
+            callback(aResult, aReason);
           }
         });
       };
@@ -306,6 +363,8 @@
   SharedPlatform& mShared;
   std::mt19937_64 mRandom;
   FaultPlan mPlan;
+  std::uint64_t mLastRequest = 0;
+  std::map<std::uint64_t, PendingRequest> mPending;
   std::shared_ptr<bool> mDisconnected = std::make_shared<bool>(false);
 };
 
--- a/tests/node/ConfigFreshnessTest.cpp
+++ b/tests/node/ConfigFreshnessTest.cpp
@@ -20,6 +20,10 @@
 constexpr std::uint64_t kSeedCount = 8;
 constexpr Milliseconds kSettleTime{ 6000 };
 constexpr Milliseconds kStep{ 100 };
+/** The platform's limit until a written configuration is in force. */
+constexpr Milliseconds kMaxApplyTime{ 2000 };
+/** The platform's limit until a machine is in touch after a fault. */
+constexpr Milliseconds kMaxContactTime{ 3000 };
 
 nodes::MemberRecord
 Record(int aNumber, const std::string& aZone)
@@ -249,3 +253,163 @@
     }
   }
 }
+
+// Guards against a new configuration that stays unknown to the whole mesh while
+// its readers wait for answers on connections that went silent.
+TEST_CASE("a new configuration is in force in time although the connections to "
+          "the store went silent",
+          "[freshness][silence]")
+{
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    for (int delay = 0; delay < 5000; delay += 350) {
+      INFO("seed " << seed << ", after " << delay << " ms");
+      const auto fleet = SettledFleet(seed);
+      fleet->clock.RunFor(Milliseconds(delay));
+      fleet->SilenceStoreConnections();
+      fleet->clock.RunFor(Milliseconds(50));
+      fleet->WriteConfig(9);
+      fleet->clock.RunFor(kMaxApplyTime);
+      CHECK(fleet->AllServe(9));
+      CHECK_FALSE(fleet->outdatedConfirmed);
+    }
+  }
+}
+
+// Guards against calls that are not repeated, in calm, for want of a
+// confirmation, and against reads of the store that grow with the fleet.
+TEST_CASE("in calm the configuration of each node was confirmed lately, for a "
+          "few reads in each zone",
+          "[freshness]")
+{
+  struct Size
+  {
+    int nodes;
+    int zones;
+    Milliseconds maxAge; ///< the platform's limit for a fleet of this size
+  };
+  constexpr Milliseconds kCalm{ 10'000 };
+  for (const Size& size : { Size{ 12, 3, Milliseconds(2000) },
+                            Size{ 87, 3, Milliseconds(2500) },
+                            Size{ 194, 5, Milliseconds(3000) } }) {
+    INFO(size.nodes << " nodes");
+    const auto fleet = SettledFleet(3, size.nodes, size.zones);
+    const std::uint64_t before = fleet->shared.reads;
+    for (Milliseconds time{ 0 }; time < kCalm; time += kStep) {
+      fleet->clock.RunFor(kStep);
+      CHECK(fleet->AllConfirmed(size.maxAge));
+    }
+    // The first reader of a zone asks once a second, the second one every 5 s.
+    const auto zones = static_cast<std::uint64_t>(size.zones);
+    CHECK(fleet->shared.reads - before <= zones * (10 + 2) + zones * 2);
+    CHECK_FALSE(fleet->outdatedConfirmed);
+  }
+}
+
+// Guards against zones whose calls are not repeated for long since the node
+// that confirms the configuration for them fails or is turned away by the
+// store.
+TEST_CASE(
+  "after a fault of readers or their way to the store the configuration "
+  "is confirmed again in time",
+  "[freshness]")
+{
+  struct Fault
+  {
+    std::string name;
+    std::function<void(FakeFleet&)> inject;
+  };
+  const auto firstReader = [](FakeFleet& aFleet) -> FakeFleet::NodeState& {
+    return *std::ranges::find_if(aFleet.nodes, [](const auto& aNode) {
+      return nodes::HoldsDuty(
+        aNode.core->Members(), nodes::kConfigReaderDuty, 1);
+    });
+  };
+  const std::vector<Fault> faults{
+    { "a first reader dies",
+      [&](FakeFleet& aFleet) { aFleet.Kill(firstReader(aFleet)); } },
+    { "a first reader gets no answer from the store",
+      [&](FakeFleet& aFleet) {
+        firstReader(aFleet).storeFault = PlatformFault::kLostRequest;
+      } },
+    { "the store refuses a zone",
+      [](FakeFleet& aFleet) {
+        for (std::size_t n = 0; n < aFleet.nodes.size(); n += 3) {
+          aFleet.nodes[n].storeFault = PlatformFault::kDown;
+        }
+      } },
+    { "connections to the store go silent",
+      [](FakeFleet& aFleet) { aFleet.SilenceStoreConnections(); } },
+    { "the VMs were suspended",
+      [](FakeFleet& aFleet) { aFleet.clock.Suspend(Milliseconds(20'000)); } },
+  };
+  for (const auto& fault : faults) {
+    for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+      INFO(fault.name << ", seed " << seed);
+      const auto fleet = SettledFleet(seed);
+      fault.inject(*fleet);
+      fleet->clock.RunFor(kMaxContactTime);
+      for (int n = 0; n < 20; ++n) {
+        fleet->clock.RunFor(kStep);
+        CHECK(fleet->AllConfirmed(kMaxApplyTime));
+      }
+    }
+  }
+}
+
+// Guards against any order of faults after which a configuration counts as
+// confirmed for a time at which the store held a newer one.
+TEST_CASE(
+  "no configuration is confirmed for a time at which a newer one existed",
+  "[freshness]")
+{
+  constexpr std::uint64_t kSoakSeeds = 40;
+  constexpr int kSoakSteps = 300;
+  for (std::uint64_t seed = 1; seed <= kSoakSeeds; ++seed) {
+    INFO("seed " << seed);
+    const auto fleet = SettledFleet(seed);
+    std::mt19937_64 random(seed);
+    const auto node = [&]() -> FakeFleet::NodeState& {
+      return fleet->nodes[random() % fleet->nodes.size()];
+    };
+    const std::vector<std::function<void()>> faults{
+      [&] { fleet->SilenceStoreConnections(); },
+      [&] { node().store->SilencePendingRequests(); },
+      [&] {
+        fleet->clock.Suspend(
+          Milliseconds(static_cast<std::int64_t>(random() % 6000)));
+      },
+      [&] {
+        if (FakeFleet::NodeState& it = node(); it.incarnation != 0) {
+          it.core->OnPause();
+        }
+      },
+      [&] { fleet->Start(node()); },
+      [&] {
+        if (FakeFleet::NodeState& it = node(); it.incarnation != 0) {
+          fleet->Kill(it);
+        }
+      },
+      [&] { node().cutFromPeers = true; },
+      [&] { node().cutFromPeers = false; },
+      [&] { node().storeFault = PlatformFault::kDown; },
+      [&] { node().storeFault = PlatformFault::kLostRequest; },
+      [&] { node().storeFault = PlatformFault::kLostAnswer; },
+      [&] { node().storeFault = PlatformFault::kSlow; },
+      [&] { node().storeFault = PlatformFault::kNone; },
+      [&] { fleet->loss = static_cast<double>(random() % 4) / 10; },
+    };
+    std::uint64_t version = 5;
+    for (int n = 0; n < kSoakSteps; ++n) {
+      if (random() % 3 == 0) {
+        faults[random() % faults.size()]();
+      }
+      if (random() % 4 == 0) {
+        fleet->WriteConfig(++version);
+      }
+      fleet->clock.RunFor(
+        Milliseconds(static_cast<std::int64_t>(random() % 200)));
+    }
+    CHECK_FALSE(fleet->outdatedConfirmed);
+    CHECK_FALSE(fleet->configRegressed);
+  }
+}
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -35,7 +35,8 @@
   "listen": {"inbound": "10.1.0.8:8300", "outbound": "10.1.0.8:8304",
              "ready": "10.1.0.8:8302", "control": "10.1.0.8:8306"},
   "port-range": [7620, 7635], "heartbeat-s": 1.5,
-  "bounds": {"grace-s": 6, "retry-budget-ratio": 0.2, "budget-slack": 60,
+  "bounds": {"grace-s": 6, "config-apply-s": 2.5,
+             "retry-budget-ratio": 0.2, "budget-slack": 60,
              "budget-window-s": 10, "expose-share": 0.1},
   "app-addr": "10.1.0.8:8301", "service": "s", "unknown": [1, 2],
   "platform": {"address": "10.200.1.7:8309"}})";
@@ -222,6 +223,7 @@
   CHECK(settings->firstPort == 7620);
   CHECK(settings->reportInterval == Milliseconds(1500));
   CHECK(settings->gracePeriod == Milliseconds(6000));
+  CHECK(settings->configApplyTime == Milliseconds(2500));
   CHECK(settings->metricsAddress == "10.1.0.8:9464");
 }
 
