Detect that a VM was suspended as a pause

Cause: PauseDetector was fed with the monotonic clock, which stops while a VM is suspended, so that a suspension was no gap between two ticks.

Change: pauses are measured by the boot clock, which counts a suspension, in TrafficPlane and in ControlCore.

--- a/include/knapweedpaddle/common/PauseDetector.h
+++ b/include/knapweedpaddle/common/PauseDetector.h
@@ -2,11 +2,14 @@
 
 #include "knapweedpaddle/common/Time.h"
 
+#include <optional>
+
 namespace knapweedpaddle {
 
 /**
  * Detects that the process did not run for a while (because its VM or the
- * process was suspended, for example) from gaps between regular ticks.
+ * process was suspended, for example) from gaps between regular ticks. Times
+ * are boot times, since a Timestamp does not count the suspension of a VM.
  *
  * Thread safety: one thread.
  */
@@ -20,14 +23,14 @@
   }
 
   /** Records that the thread runs; call several times per maximum gap. */
-  void Tick(Timestamp aNow)
+  void Tick(Microseconds aNow)
   {
     CheckForPause(aNow);
     mLastTick = aNow;
   }
 
   /** Returns true for the first call after a pause, else false. */
-  bool TakePause(Timestamp aNow)
+  bool TakePause(Microseconds aNow)
   {
     CheckForPause(aNow);
     const bool paused = mPaused;
@@ -40,7 +43,7 @@
    * pause: the length of the last pause for kBacklogDrainTime after it, else
    * zero.
    */
-  Milliseconds DelayFromPause(Timestamp aNow)
+  Milliseconds DelayFromPause(Microseconds aNow)
   {
     CheckForPause(aNow);
     return aNow < mBacklogUntil ? mLastPause : Milliseconds(0);
@@ -50,12 +53,12 @@
   /** Time to read the messages that arrived during a pause. */
   static constexpr Milliseconds kBacklogDrainTime{ 500 };
 
-  void CheckForPause(Timestamp aNow)
+  void CheckForPause(Microseconds aNow)
   {
-    if (mLastTick == Timestamp{} || aNow - mLastTick <= mMaxGap) {
+    if (!mLastTick || aNow - *mLastTick <= mMaxGap) {
       return;
     }
-    mLastPause = std::chrono::duration_cast<Milliseconds>(aNow - mLastTick);
+    mLastPause = std::chrono::duration_cast<Milliseconds>(aNow - *mLastTick);
     mBacklogUntil = aNow + kBacklogDrainTime;
     mPaused = true;
     mLastTick = aNow;
@@ -63,8 +66,8 @@
 
   Milliseconds mMaxGap;
   Milliseconds mLastPause{ 0 };
-  Timestamp mLastTick{};
-  Timestamp mBacklogUntil{};
+  std::optional<Microseconds> mLastTick;
+  Microseconds mBacklogUntil{ 0 };
   bool mPaused = false;
 };
 
--- a/src/node/ControlCore.cpp
+++ b/src/node/ControlCore.cpp
@@ -94,7 +94,7 @@
 void
 ControlCore::OnTick()
 {
-  const Timestamp now = mServices.scheduler.Now();
+  const Microseconds now = mServices.scheduler.BootTime();
   if (mPauseDetector.TakePause(now)) {
     OnPause();
   }
@@ -240,7 +240,7 @@
 void
 ControlCore::Publish()
 {
-  if (mPauseDetector.TakePause(mServices.scheduler.Now())) {
+  if (mPauseDetector.TakePause(mServices.scheduler.BootTime())) {
     OnPause();
   }
   auto view = std::make_shared<routing::RoutingView>(mConfig.Store().Current());
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -177,7 +177,7 @@
 {
   CloseAfterPause();
   mBodies.OnTick();
-  const Timestamp now = std::chrono::steady_clock::now();
+  const Microseconds now = BootTime();
   mLongPauses.Tick(now);
   mShortPauses.Tick(now);
 }
@@ -185,7 +185,7 @@
 void
 TrafficPlane::CloseAfterPause()
 {
-  if (mLongPauses.TakePause(std::chrono::steady_clock::now())) {
+  if (mLongPauses.TakePause(BootTime())) {
     mServices.metrics.Count("pauses_total", {});
     mForwarder.Close();
     mServices.onPause();
@@ -219,7 +219,7 @@
   // arrived when the pause began.
   const Timestamp sentAt =
     aRequest.begunAt -
-    std::max(aRequest.delay, mShortPauses.DelayFromPause(now));
+    std::max(aRequest.delay, mShortPauses.DelayFromPause(BootTime()));
   std::string reason;
   auto call = nodes::DecodeCall(std::move(aRequest), sentAt, reason);
   if (!call) {
--- a/tests/fakes/FakePlatform.h
+++ b/tests/fakes/FakePlatform.h
@@ -209,7 +209,7 @@
   }
 
   /** Polls the table until it changes or the wait ends. */
-  void FollowUntil(std::string aTable,
+  void FollowUntil(const std::string& aTable,
                    std::uint64_t aAfter,
                    Milliseconds aWait,
                    TableCallback aCallback)
--- a/tests/node/MeshFaultTest.cpp
+++ b/tests/node/MeshFaultTest.cpp
@@ -327,6 +327,23 @@
   CHECK(mesh->violations.empty());
 }
 
+// Guards against a node that serves, after its VM was suspended, the version
+// that it held before: the monotonic clock does not count that time.
+TEST_CASE("a node whose VM was suspended does not serve until it is up to date",
+          "[mesh][pause]")
+{
+  const auto mesh = StartedMesh(3);
+  REQUIRE(mesh->ServingCount() == 9);
+  mesh->SetPlatformFault(PlatformFault::kDown);
+  mesh->clock.Suspend(Milliseconds(5000));
+  mesh->clock.RunFor(Milliseconds(200));
+  CHECK(mesh->ServingCount() == 0);
+  mesh->SetPlatformFault(PlatformFault::kNone);
+  mesh->clock.RunFor(kMaxChangeTime);
+  CHECK(mesh->ServingCount() == 9);
+  CHECK(mesh->violations.empty());
+}
+
 TEST_CASE(
   "a catalogue change accepted after the store was restored is in force "
   "on every node",
