--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -94,7 +94,10 @@
   void ReadAll();
   void WaitForStoreChanges();
   Milliseconds StoreWait() const;
+  /** Returns whether the pending query may have been sent on a connection that
+   * went silent. */
   bool IsQueryOverdue() const;
+  /** Asks the store for an immediate answer, beside the pending query. */
   void CheckStore();
   /** @param aAsOf  boot time at which the store held what it answered. */
   void OnStoreAnswer(const std::optional<operators::OrderUpdate>& aChanges,
@@ -121,8 +124,8 @@
   bool mIsQuerying = false; ///< a query or the wait to repeat it is pending
   /** When the pending query was sent; nothing while none is pending. */
   std::optional<Timestamp> mQuerySentAt;
-  std::optional<Timestamp> mCheckSentAt; ///< the same for CheckStore()
-  Timestamp mLastCheckAt{};
+  bool mIsChecking = false; ///< a query of CheckStore() is pending
+  Timestamp mLastCheckAt{}; ///< when the last one was sent
   /** The last query was answered, and the next one follows it at once. */
   bool mLastQueryAnswered = false;
   std::optional<std::uint64_t> mRevision; ///< last store revision read
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -211,7 +211,7 @@
 ConfigFollower::IsQueryOverdue() const
 {
   const Timestamp now = mServices.scheduler.Now();
-  if (!mRevision || !mQuerySentAt || mCheckSentAt ||
+  if (!mRevision || !mQuerySentAt || mIsChecking ||
       now - *mQuerySentAt < kMaxUnconfirmedTime ||
       now - mLastCheckAt < kCheckInterval || !ShouldQueryStore()) {
     return false;
@@ -224,7 +224,7 @@
 ConfigFollower::CheckStore()
 {
   mLastCheckAt = mServices.scheduler.Now();
-  mCheckSentAt = mLastCheckAt;
+  mIsChecking = true;
   mServices.orders.Follow(
     *mRevision,
     Milliseconds(0),
@@ -232,7 +232,7 @@
      generation = mQueryGeneration,
      sentAt = mServices.scheduler.BootTime()](
       const std::optional<OrderUpdate>& aChanges, const StoreReason&) {
-      mCheckSentAt.reset();
+      mIsChecking = false;
       if (!aChanges || generation != mQueryGeneration) {
         return;
       }
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -294,6 +294,10 @@
     const nodes::Membership& members = mCore.Members();
     mMetrics.SetGauge(
       "config_version", {}, static_cast<double>(mCore.Config().Version()));
+    if (const auto age = mCore.Freshness().Age()) {
+      mMetrics.SetGauge(
+        "config_age_seconds", {}, std::chrono::duration<double>(*age).count());
+    }
     mMetrics.SetGauge(
       "members", {}, static_cast<double>(members.Members().size() + 1));
     mMetrics.SetGauge("serving", {}, mCore.IsReady() ? 1 : 0);
