--- a/tests/fakes/FakePlatform.h
+++ b/tests/fakes/FakePlatform.h
@@ -118,7 +118,7 @@
               TableCallback aCallback) override
   {
     FollowUntil(
-      std::move(aTable),
+      aTable,
       aAfter,
       aWait,
       Pending<store::TableRows>(aWait + kRequestTimeout, std::move(aCallback)));
