Share the settled fleet between two test files

ConfigFreshnessTest repeated FleetTest's fixture, a fleet whose nodes all hold a configuration; it is now in tests/fakes/SettledFleet.h. The assertions stay as they are.

--- a/tests/node/ConfigFreshnessTest.cpp
+++ b/tests/node/ConfigFreshnessTest.cpp
@@ -3,7 +3,7 @@
 
 #include "knapweedpaddle/node/ConfigFreshness.h"
 
-#include "fakes/FakeFleet.h"
+#include "fakes/SettledFleet.h"
 #include "knapweedpaddle/nodes/DutyAssignment.h"
 
 #include <catch2/catch.hpp>
@@ -11,6 +11,7 @@
 using namespace knapweedpaddle;
 using fakes::FakeFleet;
 using fakes::PlatformFault;
+using fakes::SettledFleet;
 using nodes::GossipKind;
 using nodes::GossipMessage;
 using nodes::MemberState;
@@ -18,7 +19,6 @@
 namespace {
 
 constexpr std::uint64_t kSeedCount = 8;
-constexpr Milliseconds kSettleTime{ 6000 };
 constexpr Milliseconds kStep{ 100 };
 /** The platform's limit until a written configuration is in force. */
 constexpr Milliseconds kMaxApplyTime{ 2000 };
@@ -96,20 +96,6 @@
   };
 };
 
-std::unique_ptr<FakeFleet>
-SettledFleet(std::uint64_t aSeed, int aNodes = 12, int aZones = 3)
-{
-  auto fleet = std::make_unique<FakeFleet>(aSeed);
-  for (int n = 0; n < aNodes; ++n) {
-    fleet->Add("zone" + std::to_string(n % aZones), "svc");
-  }
-  fleet->WriteConfig(5);
-  fleet->StartAll();
-  fleet->clock.RunFor(kSettleTime);
-  REQUIRE(fleet->AllServe(5));
-  return fleet;
-}
-
 } // namespace
 
 // Guards against answers that wait, as in the sockets of a paused process, and
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -1,7 +1,7 @@
 // Checks that configurations and rollouts reach every node of a fleet in time
 // while nodes, the links between them or the store fail.
 
-#include "fakes/FakeFleet.h"
+#include "fakes/SettledFleet.h"
 #include "knapweedpaddle/store/CatalogueRows.h"
 
 #include <catch2/catch.hpp>
@@ -9,6 +9,7 @@
 using namespace knapweedpaddle;
 using fakes::FakeFleet;
 using fakes::PlatformFault;
+using fakes::SettledFleet;
 
 namespace {
 
@@ -18,21 +19,6 @@
 constexpr Milliseconds kMaxApplyTime{ 2000 };
 constexpr Milliseconds kRolloutDuration{ 16'000 };
 
-/** Returns twelve nodes in three zones that all hold configuration 5. */
-std::unique_ptr<FakeFleet>
-SettledFleet(std::uint64_t aSeed)
-{
-  auto fleet = std::make_unique<FakeFleet>(aSeed);
-  for (int n = 0; n < 12; ++n) {
-    fleet->Add("zone" + std::to_string(n % 3), "svc");
-  }
-  fleet->WriteConfig(5);
-  fleet->StartAll();
-  fleet->clock.RunFor(kSettleTime);
-  REQUIRE(fleet->AllServe(5));
-  return fleet;
-}
-
 } // namespace
 
 // Guards against nodes that miss a new configuration because their way to the
