Limit the calls to cold servers, and evacuate zones by order

Cause: a service's warm-up rate and operators' evacuation orders were not read at all.

Change: the owner counts the calls of the last second to a server that is, or may be, cold (WarmupLimit, ServerWarmup) and reports the wait like that of a rate limit. Readers pass evacuation orders on by datagram (EvacuationTracker); ingress nodes pass over the zone and owners refuse.

--- a/include/knapweedpaddle/backends/BackendDialect.h
+++ b/include/knapweedpaddle/backends/BackendDialect.h
@@ -25,6 +25,10 @@
   /** Response header: "1" says that the server leaves and must get no more
    * calls. */
   std::string leaving = "knapweed-leaving";
+  /** Header of health responses: milliseconds that the server stays cold. */
+  std::string warmupLeftMs = "knapweed-warmup-ms";
+  /** Header of health responses: id of the server instance. */
+  std::string serverId;
   bool echoesCallId = false; ///< responses repeat the callId header
 };
 
--- a/include/knapweedpaddle/backends/BackendDispatcher.h
+++ b/include/knapweedpaddle/backends/BackendDispatcher.h
@@ -56,6 +56,8 @@
   /** Unix time of the server's start, which with the id identifies it; 0 if
    * unknown. */
   std::uint64_t startedAtMs = 0;
+  /** Remaining warm-up time at the time of the server's last report. */
+  Milliseconds warmupLeft{ 0 };
 
   /** Returns a name of this start of the server, "id@time"; empty without an
    * id, as a later start can't be told from this one then. */
@@ -67,6 +69,18 @@
   bool operator==(const BackendServer&) const = default;
 };
 
+/** What the configuration says of the warm-up of a service's servers. */
+struct WarmupOptions
+{
+  double callsPerSecond = 0; ///< of a cold server; 0: no limit
+  std::string healthPath;    ///< path of the health check, or empty
+
+  bool operator==(const WarmupOptions&) const = default;
+};
+
+/** Warm-up options by service. */
+using WarmupTable = std::map<std::string, WarmupOptions>;
+
 /** Key by which the results of calls are counted. */
 struct EvidenceKey
 {
@@ -122,6 +136,19 @@
    * whose answers said that it leaves is not accepted. */
   void SetBackend(std::optional<BackendServer> aBackend);
 
+  /** Sets how the calls to cold servers are limited. */
+  void SetWarmup(WarmupTable aTable);
+
+  /** Sets whether operators evacuated this node's zone. Its server gets no
+   * further calls then, and queued ones are refused. */
+  void SetEvacuated(bool aEvacuated);
+
+  /** Handles a pause of the process, in which the server may have changed. */
+  void OnPause();
+
+  /** Call every 100 ms. */
+  void OnTick();
+
   /** Returns why Run() would refuse a call now; empty if it would not. Asked
    * before the body of a call is transferred. */
   std::string CheckRefusal(const ForwardedCall& aCall);
--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -2,9 +2,11 @@
 
 #include "knapweedpaddle/backends/AdmissionFairness.h"
 #include "knapweedpaddle/backends/ServerRateLimit.h"
+#include "knapweedpaddle/backends/WarmupLimit.h"
 #include "knapweedpaddle/common/Time.h"
 #include "knapweedpaddle/config/Entry.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -19,14 +21,16 @@
   kDeadlineTooNear, ///< the deadline would pass while the call waits
   kWaitTooLong,     ///< the call would wait too long for its latency target
   kRateLimited,     ///< the same, for the rate that the server takes
+  kWarmingUp,       ///< the same, as the server is cold
   kDraining,        ///< no calls are accepted, or there is no backend server
 };
 
-inline constexpr std::array<EnumName<SlotRefusal>, 5> kSlotRefusalNames{ {
+inline constexpr std::array<EnumName<SlotRefusal>, 6> kSlotRefusalNames{ {
   { SlotRefusal::kQueueFull, "queue_full" },
   { SlotRefusal::kDeadlineTooNear, "deadline_too_near" },
   { SlotRefusal::kWaitTooLong, "wait_too_long" },
   { SlotRefusal::kRateLimited, "rate_limited" },
+  { SlotRefusal::kWarmingUp, "warming_up" },
   { SlotRefusal::kDraining, "draining" },
 } };
 
@@ -67,9 +71,12 @@
   using SlotCallback =
     std::function<void(std::uint64_t aId, std::optional<SlotRefusal>)>;
 
-  /** @param aRateLimit  must outlive the queue. */
+  /**
+   * @param aRateLimit  must outlive the queue, as must aWarmup.
+   */
   SlotQueue(std::uint32_t aCheckSlots,
             ServerRateLimit& aRateLimit,
+            WarmupLimit& aWarmup,
             SlotCallback aCallback);
 
   /**
@@ -119,10 +126,12 @@
    * free slots to those that the rate limit allows by now. */
   void Update(Timestamp aNow);
 
-  /** Returns the time until the rate limit allows the next queued call. */
-  Microseconds RateWait(Timestamp aNow) const
+  /** Returns the time until the rate limit and the server's warm-up allow a
+   * call that has a number of others ahead of it. */
+  Microseconds RateWait(std::size_t aCallsAhead, Timestamp aNow) const
   {
-    return mRateLimit.WaitFor(0, aNow);
+    return std::max(mRateLimit.WaitFor(aCallsAhead, aNow),
+                    mWarmup.WaitFor(aCallsAhead, aNow));
   }
 
   /** Refuses all new and queued calls from now on. */
@@ -175,6 +184,7 @@
 
   std::uint32_t mCheckSlots;
   ServerRateLimit& mRateLimit;
+  WarmupLimit& mWarmup;
   AdmissionFairness mFairness;
   SlotCallback mCallback;
   std::uint32_t mSlots = 0;
--- a/include/knapweedpaddle/config/Entry.h
+++ b/include/knapweedpaddle/config/Entry.h
@@ -4,6 +4,7 @@
 #include "knapweedpaddle/common/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -35,13 +36,15 @@
   kRoute,
   kLimit,
   kMove,
+  kTeam,
 };
 
-inline constexpr std::array<EnumName<EntryKind>, 4> kEntryKindNames{ {
+inline constexpr std::array<EnumName<EntryKind>, 5> kEntryKindNames{ {
   { EntryKind::kService, "service" },
   { EntryKind::kRoute, "route" },
   { EntryKind::kLimit, "limit" },
   { EntryKind::kMove, "move" },
+  { EntryKind::kTeam, "team" },
 } };
 
 /** Whether a move still runs and how it ended. */
@@ -73,6 +76,9 @@
 {
   EntryHeader header;
   std::string version;
+  std::string healthPath; ///< path of the servers' health check, or empty
+  /** Calls per second that a server takes while it is cold; 0: no limit. */
+  double warmupCallsPerSecond = 0;
 
   bool operator==(const ServiceEntry&) const = default;
 };
@@ -101,6 +107,8 @@
   Milliseconds slowAfter{ 100 };
   std::uint32_t priority = 0; ///< 0 is served first when slots are scarce
   std::uint32_t maxTries = 3; ///< most backend servers that a call may reach
+  /** Whether callers need no key where the configuration holds teams. */
+  bool isPublic = false;
 
   bool operator==(const RouteEntry&) const = default;
 };
@@ -132,6 +140,20 @@
   bool operator==(const MoveEntry&) const = default;
 };
 
+/** Callers that share keys and an allowance of calls. */
+struct TeamEntry
+{
+  EntryHeader header;
+  std::vector<std::string> keys; ///< secrets that identify the team's callers
+  /** Goes before the priority of a route; nothing: the route's applies. */
+  std::optional<std::uint32_t> priority;
+  /** Calls per second over all nodes together; 0: no limit. */
+  double callsPerSecond = 0;
+  double burst = 0; ///< calls beyond that rate that may come at once
+
+  bool operator==(const TeamEntry&) const = default;
+};
+
 /** Limits on the size and duration of the requests that callers send. */
 struct CallerLimits
 {
@@ -144,7 +166,8 @@
   bool operator==(const CallerLimits&) const = default;
 };
 
-using Entry = std::variant<ServiceEntry, RouteEntry, LimitEntry, MoveEntry>;
+using Entry =
+  std::variant<ServiceEntry, RouteEntry, LimitEntry, MoveEntry, TeamEntry>;
 
 /** Identifies an entry; no two entries have the same kind and name. */
 struct EntryId
--- a/include/knapweedpaddle/node/ConfigFollower.h
+++ b/include/knapweedpaddle/node/ConfigFollower.h
@@ -48,6 +48,8 @@
     std::function<void(Microseconds aAsOf)> onConfirmed;
     /** Called with rollout orders read from the store. */
     std::function<void(const std::vector<operators::RolloutOrder>&)> onOrders;
+    /** Called with evacuation orders read from the store. */
+    std::function<void(const operators::OrderUpdate&)> onEvacuations;
     /** Called when this node finds that the store was restored from an older
      * copy since its last answer. */
     std::function<void()> onStoreRestored;
--- a/include/knapweedpaddle/node/FleetCore.h
+++ b/include/knapweedpaddle/node/FleetCore.h
@@ -3,6 +3,7 @@
 #include "knapweedpaddle/backends/BackendServerTracker.h"
 #include "knapweedpaddle/node/ConfigFollower.h"
 #include "knapweedpaddle/node/ConfigFreshness.h"
+#include "knapweedpaddle/node/EvacuationTracker.h"
 #include "knapweedpaddle/node/MemberAgent.h"
 #include "knapweedpaddle/node/RolloutAgent.h"
 #include "knapweedpaddle/settings/FleetSettings.h"
@@ -110,11 +111,17 @@
   const ConfigFollower& Config() const { return mConfig; }
   const ConfigFreshness& Freshness() const { return mFreshness; }
   const nodes::Membership& Members() const { return mMemberAgent.Members(); }
+  const EvacuationTracker& Evacuations() const { return mEvacuations; }
 
 private:
   void OnTick();
   void OnConfigApplied(bool aFromStore);
   void OnJoinAnswer(const nodes::JoinAnswer& aAnswer);
+  /** Sends a datagram with the evacuation orders known here. */
+  void Send(const nodes::Datagram& aDatagram) const;
+  void OnEvacuations(const operators::OrderUpdate& aUpdate);
+  void MergeEvacuations(const std::vector<ZoneEvacuation>& aOrders);
+  void OnEvacuationsChanged();
   void UpdateSelf();
   void Publish();
   /** Returns this node's part of the retries allowed to all nodes together. */
@@ -122,6 +129,7 @@
 
   Services mServices;
   const settings::FleetSettings& mSettings;
+  EvacuationTracker mEvacuations;
   MemberAgent mMemberAgent;
   ConfigFollower mConfig;
   ConfigFreshness mFreshness;
--- a/include/knapweedpaddle/nodes/GossipCodec.h
+++ b/include/knapweedpaddle/nodes/GossipCodec.h
@@ -30,6 +30,7 @@
    * requesting node's address, also before that node restarted. */
   std::uint64_t rememberedVersion = 0;
   std::vector<MoveProgress> moves;
+  std::vector<ZoneEvacuation> evacuations;
 };
 
 std::string
--- a/include/knapweedpaddle/nodes/GossipMessage.h
+++ b/include/knapweedpaddle/nodes/GossipMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "knapweedpaddle/common/Time.h"
+#include "knapweedpaddle/common/ZoneEvacuation.h"
 #include "knapweedpaddle/nodes/MemberRecord.h"
 
 #include <optional>
@@ -46,6 +47,7 @@
   std::uint64_t tableHash = 0;
   std::vector<MemberUpdate> updates;
   std::vector<MoveProgress> moves;
+  std::vector<ZoneEvacuation> evacuations;
 };
 
 /** A gossip message and its destination. */
--- a/include/knapweedpaddle/operators/OrderStore.h
+++ b/include/knapweedpaddle/operators/OrderStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "knapweedpaddle/common/ZoneEvacuation.h"
 #include "knapweedpaddle/config/Snapshot.h"
 #include "knapweedpaddle/store/StoreClient.h"
 
@@ -43,6 +44,8 @@
 {
   std::optional<std::string> configText; ///< configuration, not yet decoded
   std::vector<RolloutOrder> rollouts;
+  std::vector<ZoneEvacuation> evacuations;
+  bool isComplete = false; ///< holds all orders in force, not only changed ones
   bool hasChanges = false; ///< whether any row is new, also an unreadable one
   std::uint64_t revision = 0; ///< to pass to OrderStore::Follow()
 };
--- a/include/knapweedpaddle/routing/RoutingView.h
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,7 +21,8 @@
   std::string zone;
   std::string version;
   std::uint32_t slots = 0;
-  bool suspect = false; ///< whether the failure detector suspects the node
+  bool suspect = false;   ///< whether the failure detector suspects the node
+  bool evacuated = false; ///< whether operators evacuated the node's zone
 };
 
 /** How a service's calls are split between two versions. */
@@ -53,6 +55,8 @@
   RouteTablePtr routes;                               ///< routes of config
   std::map<std::string, std::vector<Target>> targets; ///< keyed by service
   std::map<std::string, VersionSplit> splits;         ///< keyed by service
+  /** Zones whose backend servers get no calls, by order of operators. */
+  std::set<std::string> evacuatedZones;
   RetryOptions retries;
   /** Requests that may have crashed the backend servers of other nodes. */
   CrashSuspects suspects;
@@ -62,6 +66,10 @@
   const config::RouteEntry* FindRoute(const std::string& aHost,
                                       const std::string& aPath) const;
 
+  /** Returns true if a service has backend servers, and all of them are in
+   * evacuated zones. */
+  bool IsEvacuated(const std::string& aService) const;
+
   /**
    * Returns the versions that a call to a service may use, in order of
    * preference, each as the text of a VersionSelector. Without a split the
--- a/include/knapweedpaddle/settings/FleetSettings.h
+++ b/include/knapweedpaddle/settings/FleetSettings.h
@@ -35,6 +35,12 @@
   /** Retries allowed per budget window beyond that ratio, over all nodes
    * together. */
   double retryBudgetSlack = 60;
+  /** Factor by which the calls of any second may exceed the rate that a cold
+   * backend server takes. */
+  double warmupOvershoot = 1;
+  /** A call with a caller's key runs only if the configuration was known to be
+   * the newest within this time before; 0: whatever its age. */
+  Milliseconds maxKeyAge{ 0 };
 
   bool operator==(const FleetSettings&) const = default;
 };
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "knapweedpaddle/backends/BackendDispatcher.h"
 
 #include "AnswerReader.h"
+#include "ServerWarmup.h"
 #include "knapweedpaddle/backends/CrashDetector.h"
 #include "knapweedpaddle/backends/DepartedServers.h"
 #include "knapweedpaddle/backends/ServerRateLimit.h"
@@ -88,8 +89,10 @@
     : mServices(std::move(aServices))
     , mAnswers(mServices.dialect)
     , mHttp(mServices.loop, ClientOptionsFor(mServices.dialect))
+    , mWarmup({ mServices.loop, mServices.metrics, mServices.dialect })
     , mSlots(aCheckSlots,
              mRateLimit,
+             mWarmup.Limit(),
              [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
                OnQueueDecision(aId, aRefusal);
              })
@@ -111,9 +114,23 @@
     if (mBackend) {
       mHttp.SetAddress(mBackend->address);
     }
-    mSlots.SetSlots(mBackend ? mBackend->slots : 0);
+    mWarmup.SetServer(mBackend);
+    UpdateSlots();
   }
 
+  void SetWarmup(WarmupTable aTable) { mWarmup.SetTable(std::move(aTable)); }
+
+  void SetEvacuated(bool aEvacuated)
+  {
+    if (std::exchange(mIsEvacuated, aEvacuated) != aEvacuated) {
+      UpdateSlots();
+    }
+  }
+
+  void OnPause() { mWarmup.OnServerAway(); }
+
+  void OnTick() { mWarmup.OnTick(); }
+
   std::string CheckRefusal(const ForwardedCall& aCall)
   {
     if (std::string reason = CheckServer(aCall); !reason.empty()) {
@@ -177,7 +194,8 @@
   ServerLoad Load(const std::string& aRoute) const
   {
     const Timestamp now = Now();
-    const bool takesCalls = mBackend && now >= mUnreachableUntil;
+    const bool takesCalls =
+      mBackend && !mIsEvacuated && now >= mUnreachableUntil;
     const auto rounded = [](double aValue) {
       return static_cast<std::uint32_t>(std::lround(aValue));
     };
@@ -188,10 +206,11 @@
     load.serviceMs = rounded(mSlots.ServiceMs());
     load.routeMs = rounded(RouteMs(aRoute));
     load.failedPercent = rounded(mFailedShare * kPercent);
-    load.rateIntervalUs =
-      static_cast<std::uint32_t>(mRateLimit.CallInterval().count());
+    load.rateIntervalUs = static_cast<std::uint32_t>(
+      std::max(mRateLimit.CallInterval(), mWarmup.Limit().CallInterval(now))
+        .count());
     load.rateWaitMs = static_cast<std::uint32_t>(
-      std::chrono::ceil<Milliseconds>(mRateLimit.WaitFor(mSlots.Queued(), now))
+      std::chrono::ceil<Milliseconds>(mSlots.RateWait(mSlots.Queued(), now))
         .count());
     return load;
   }
@@ -240,6 +259,9 @@
     if (!mBackend) {
       return "no backend server is registered at this node";
     }
+    if (mIsEvacuated) {
+      return "the zone of this node is evacuated";
+    }
     const Timestamp now = Now();
     if (!mStopWindow.Takes(now, aCall.deadline)) {
       return "this node is stopping and may exit before the call ends";
@@ -303,7 +325,7 @@
       return;
     }
     const auto rateWait =
-      std::chrono::ceil<Milliseconds>(mSlots.RateWait(Now()));
+      std::chrono::ceil<Milliseconds>(mSlots.RateWait(0, Now()));
     const Milliseconds delay = rateWait > Milliseconds(0)
                                  ? std::min(rateWait, kMaxQueueCheckInterval)
                                  : kMaxQueueCheckInterval;
@@ -382,7 +404,7 @@
       Refuse(aRun, "the deadline passed before the call was dispatched");
       return;
     }
-    if (!mBackend) {
+    if (!mBackend || mIsEvacuated) {
       Refuse(aRun,
              "the backend server went away before the call was dispatched");
       return;
@@ -487,6 +509,7 @@
                       const ClientReason& aReason)
   {
     if (!aHasResponse && aReason.code == ClientError::kNotSent) {
+      mWarmup.OnServerAway();
       OnServerDown();
       return;
     }
@@ -498,6 +521,7 @@
     const std::uint64_t request =
       CrashDetector::HashOf(call.method, call.path, call.body);
     if (isLost) {
+      mWarmup.OnConnectionLost();
       mCrashes.OnConnectionLost(request, Now());
     } else {
       mCrashes.OnResponse(
@@ -562,7 +586,13 @@
   void RemoveBackend()
   {
     mBackend.reset();
-    mSlots.SetSlots(0);
+    mWarmup.SetServer(std::nullopt);
+    UpdateSlots();
+  }
+
+  void UpdateSlots()
+  {
+    mSlots.SetSlots(mBackend && !mIsEvacuated ? mBackend->slots : 0);
   }
 
   /** Logs a rate limit with the number of calls sent so far, which tells the
@@ -725,10 +755,12 @@
   AnswerReader mAnswers;
   http::Client mHttp;
   ServerRateLimit mRateLimit;
+  ServerWarmup mWarmup;
   SlotQueue mSlots;
   StopWindow mStopWindow;
   std::uint64_t mDispatchedCalls = 0;
   std::optional<BackendServer> mBackend;
+  bool mIsEvacuated = false; ///< operators evacuated the zone of this node
   CrashDetector mCrashes;
   DepartedServers mDepartedServers; ///< servers whose answers said so
   RunId mLastRun = 0;
@@ -756,6 +788,30 @@
   mImpl->SetBackend(std::move(aBackend));
 }
 
+void
+BackendDispatcher::SetWarmup(WarmupTable aTable)
+{
+  mImpl->SetWarmup(std::move(aTable));
+}
+
+void
+BackendDispatcher::SetEvacuated(bool aEvacuated)
+{
+  mImpl->SetEvacuated(aEvacuated);
+}
+
+void
+BackendDispatcher::OnPause()
+{
+  mImpl->OnPause();
+}
+
+void
+BackendDispatcher::OnTick()
+{
+  mImpl->OnTick();
+}
+
 std::string
 BackendDispatcher::CheckRefusal(const ForwardedCall& aCall)
 {
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -66,9 +66,11 @@
 
 SlotQueue::SlotQueue(std::uint32_t aCheckSlots,
                      ServerRateLimit& aRateLimit,
+                     WarmupLimit& aWarmup,
                      SlotCallback aCallback)
   : mCheckSlots(aCheckSlots)
   , mRateLimit(aRateLimit)
+  , mWarmup(aWarmup)
   , mCallback(std::move(aCallback))
 {
 }
@@ -240,9 +242,11 @@
 bool
 SlotQueue::TakeSlot(config::CallClass aClass, Timestamp aNow)
 {
-  if (!HasSlotFor(aClass) || !mRateLimit.TakeCall(Busy(), aNow)) {
+  if (!HasSlotFor(aClass) || !mWarmup.HasRoom(aNow) ||
+      !mRateLimit.TakeCall(Busy(), aNow)) {
     return false;
   }
+  mWarmup.CountCall(aNow);
   ++BusyOf(aClass);
   return true;
 }
@@ -263,16 +267,18 @@
   }
   const std::size_t ahead = CallsAhead(aRequest, aLate);
   const Milliseconds slotWait = SlotWait(ahead);
-  const auto rateWait =
-    std::chrono::ceil<Milliseconds>(mRateLimit.WaitFor(ahead, aNow));
+  const auto rateWait = std::chrono::ceil<Milliseconds>(RateWait(ahead, aNow));
   const Milliseconds wait = std::max(slotWait, rateWait);
   if (aNow + wait >= aRequest.deadline) {
     return SlotRefusal::kDeadlineTooNear;
   }
   if (aRequest.targetLatency > Milliseconds(0) &&
       wait > MaxWait(aRequest, aLate, aNow)) {
-    return rateWait > slotWait ? SlotRefusal::kRateLimited
-                               : SlotRefusal::kWaitTooLong;
+    if (rateWait <= slotWait) {
+      return SlotRefusal::kWaitTooLong;
+    }
+    return mWarmup.IsCold(aNow) ? SlotRefusal::kWarmingUp
+                                : SlotRefusal::kRateLimited;
   }
   return std::nullopt;
 }
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -261,6 +261,12 @@
       ScheduleHedge(aCall);
       return;
     }
+    if (mView->IsEvacuated(aCall->service)) {
+      FinishUnanswered(aCall,
+                       "the zones of all backend servers of service \"" +
+                         aCall->service + "\" are evacuated");
+      return;
+    }
     Hold(aCall,
          "no backend server of service \"" + aCall->service + "\" is known",
          [this, aCall] { StartFirstTry(aCall); });
--- a/src/config/EntryCodec.cpp
+++ b/src/config/EntryCodec.cpp
@@ -21,6 +21,12 @@
 AddFields(Json& aJson, const ServiceEntry& aEntry)
 {
   aJson["version"] = aEntry.version;
+  if (!aEntry.healthPath.empty()) {
+    aJson["health_path"] = aEntry.healthPath;
+  }
+  if (aEntry.warmupCallsPerSecond > 0) {
+    aJson["warmup_calls_per_second"] = aEntry.warmupCallsPerSecond;
+  }
 }
 
 void
@@ -39,6 +45,9 @@
   aJson["slow_after_ms"] = aEntry.slowAfter.count();
   aJson["priority"] = aEntry.priority;
   aJson["max_tries"] = aEntry.maxTries;
+  if (aEntry.isPublic) {
+    aJson["public"] = true;
+  }
 }
 
 void
@@ -62,6 +71,17 @@
   aJson["reason"] = aEntry.reason;
 }
 
+void
+AddFields(Json& aJson, const TeamEntry& aEntry)
+{
+  aJson["keys"] = aEntry.keys;
+  if (aEntry.priority) {
+    aJson["priority"] = *aEntry.priority;
+  }
+  aJson["calls_per_second"] = aEntry.callsPerSecond;
+  aJson["burst"] = aEntry.burst;
+}
+
 Json
 ToJson(const Entry& aEntry)
 {
@@ -75,6 +95,9 @@
 {
   ServiceEntry entry;
   entry.version = aReader.String("version");
+  entry.healthPath = aReader.String("health_path", false);
+  entry.warmupCallsPerSecond =
+    aReader.Number("warmup_calls_per_second", entry.warmupCallsPerSecond);
   return entry;
 }
 
@@ -141,6 +164,7 @@
     static_cast<std::uint32_t>(aReader.Integer("priority", entry.priority));
   entry.maxTries =
     static_cast<std::uint32_t>(aReader.Integer("max_tries", entry.maxTries));
+  entry.isPublic = aReader.Bool("public", entry.isPublic);
   return entry;
 }
 
@@ -169,13 +193,28 @@
   return entry;
 }
 
+Entry
+ReadTeam(FieldReader& aReader)
+{
+  TeamEntry entry;
+  entry.keys = aReader.Strings("keys");
+  if (aReader.Has("priority")) {
+    entry.priority = static_cast<std::uint32_t>(aReader.Integer("priority", 0));
+  }
+  entry.callsPerSecond =
+    aReader.Number("calls_per_second", entry.callsPerSecond);
+  entry.burst = aReader.Number("burst", entry.burst);
+  return entry;
+}
+
 /** Reads the fields that only entries of one kind have. */
 using EntryReader = Entry (*)(FieldReader&);
 /** Indexed by EntryKind. */
-constexpr std::array<EntryReader, 4> kEntryReaders{ ReadService,
+constexpr std::array<EntryReader, 5> kEntryReaders{ ReadService,
                                                     ReadRoute,
                                                     ReadLimit,
-                                                    ReadMove };
+                                                    ReadMove,
+                                                    ReadTeam };
 
 Entry
 ReadEntry(const Json& aJson, const std::string& aContext)
@@ -189,7 +228,8 @@
   FieldReader reader(aJson, context);
   if (!ValueOf(kEntryKindNames, reader.String("kind"))) {
     throw FieldError{
-      context + ": field \"kind\" must be one of service, route, limit, move"
+      context + ": field \"kind\" must be one of service, route, limit, move, "
+                "team"
     };
   }
   const auto kind =
--- a/src/config/FieldReader.h
+++ b/src/config/FieldReader.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace knapweedpaddle::config {
 
@@ -72,6 +73,34 @@
     return it->get<std::int64_t>();
   }
 
+  bool Bool(const char* aName, bool aDefault)
+  {
+    const Json* it = FindField(aName, false);
+    if (!it) {
+      return aDefault;
+    }
+    if (!it->is_boolean()) {
+      throw FieldError{ FieldLabel(aName) + " must be true or false" };
+    }
+    return it->get<bool>();
+  }
+
+  bool Has(const char* aName) { return FindField(aName, false) != nullptr; }
+
+  /** Reads an array of strings; empty if the field is missing. */
+  std::vector<std::string> Strings(const char* aName)
+  {
+    std::vector<std::string> strings;
+    const Json* array = Array(aName);
+    for (std::size_t n = 0; array && n < array->size(); ++n) {
+      if (!(*array)[n].is_string()) {
+        throw FieldError{ FieldLabel(aName) + " must hold strings only" };
+      }
+      strings.push_back((*array)[n].get<std::string>());
+    }
+    return strings;
+  }
+
   template<typename Enum, std::size_t N>
   Enum EnumValue(const char* aName,
                  const std::array<EnumName<Enum>, N>& aTable,
--- a/src/config/Validate.cpp
+++ b/src/config/Validate.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/config/Snapshot.h"
 
+#include <map>
 #include <set>
 
 namespace knapweedpaddle::config {
@@ -66,7 +67,11 @@
 
   bool Check(const ServiceEntry& aEntry)
   {
-    return !aEntry.version.empty() || Fail("version must not be empty");
+    if (aEntry.version.empty()) {
+      return Fail("version must not be empty");
+    }
+    return aEntry.warmupCallsPerSecond >= 0 ||
+           Fail("warmup_calls_per_second must not be negative");
   }
 
   bool Check(const RouteEntry& aEntry)
@@ -147,6 +152,23 @@
     return aEntry.state != MoveState::kOpen || CheckOpenMove(aEntry);
   }
 
+  bool Check(const TeamEntry& aEntry)
+  {
+    if (aEntry.callsPerSecond < 0 || aEntry.burst < 0) {
+      return Fail("calls_per_second and burst must not be negative");
+    }
+    // The message must not show a key, as it is logged.
+    for (const auto& it : aEntry.keys) {
+      if (it.empty()) {
+        return Fail("keys must not be empty");
+      }
+      if (const auto [other, isNew] = mTeamOfKey.emplace(it, mId); !isNew) {
+        return Fail("has a key that " + other->second + " has, too");
+      }
+    }
+    return true;
+  }
+
   bool CheckOpenMove(const MoveEntry& aEntry)
   {
     const auto* service =
@@ -166,6 +188,8 @@
   /** Host and path prefix of each route checked so far. */
   std::set<std::pair<std::string, std::string>> mRoutePaths;
   std::set<std::string> mServicesWithOpenMove;
+  /** "kind/name" of the team of each key checked so far. */
+  std::map<std::string, std::string> mTeamOfKey;
 };
 
 } // namespace
--- a/src/node/ConfigFollower.cpp
+++ b/src/node/ConfigFollower.cpp
@@ -202,6 +202,9 @@
   if (!aChanges.rollouts.empty()) {
     mServices.onOrders(aChanges.rollouts);
   }
+  if (aChanges.isComplete || !aChanges.evacuations.empty()) {
+    mServices.onEvacuations(aChanges);
+  }
   if (isRestored) {
     mServices.onStoreRestored();
   }
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -55,8 +55,9 @@
       { mServices.scheduler,
         mServices.store,
         mServices.peers,
-        mServices.send,
+        [this](const nodes::Datagram& aDatagram) { Send(aDatagram); },
         [this](nodes::JoinAnswer aAnswer) {
+          aAnswer.evacuations = mEvacuations.Orders();
           aAnswer.configVersion = mConfig.Version();
           aAnswer.moves = mRolloutAgent.Rollouts().Progress();
           return aAnswer;
@@ -77,6 +78,9 @@
               [this](const std::vector<operators::RolloutOrder>& aOrders) {
                 mRolloutAgent.OnOrders(aOrders);
               },
+              [this](const operators::OrderUpdate& aUpdate) {
+                OnEvacuations(aUpdate);
+              },
               [this] {
                 if (nodes::HoldsDuty(Members(), nodes::kConfigReaderDuty, 1)) {
                   mMemberAgent.RewriteZoneRows();
@@ -89,7 +93,7 @@
             aSeed + 1)
   , mFreshness({ mServices.scheduler,
                  mMemberAgent.Members(),
-                 mServices.send,
+                 [this](const nodes::Datagram& aDatagram) { Send(aDatagram); },
                  [this] { return mConfig.Version(); },
                  mServices.confirm })
   , mRolloutAgent(
@@ -162,6 +166,7 @@
   mFreshness.Receive(aMessage);
   mMemberAgent.Receive(aMessage);
   mRolloutAgent.Merge(aMessage.moves);
+  MergeEvacuations(aMessage.evacuations);
   if (const std::string address = mMemberAgent.LinkAddressOf(aMessage.sender);
       !address.empty()) {
     mConfig.OnPeerVersion(address, aMessage.configVersion);
@@ -172,6 +177,7 @@
 FleetCore::OnJoinAnswer(const nodes::JoinAnswer& aAnswer)
 {
   mRolloutAgent.Merge(aAnswer.moves);
+  MergeEvacuations(aAnswer.evacuations);
   if (!aAnswer.members.empty()) {
     // The first member in a join answer is the answering node itself.
     mConfig.OnPeerVersion(LinkAddress(aAnswer.members.front().record),
@@ -179,6 +185,51 @@
   }
 }
 
+void
+FleetCore::Send(const nodes::Datagram& aDatagram) const
+{
+  if (mEvacuations.Orders().empty()) {
+    mServices.send(aDatagram);
+    return;
+  }
+  nodes::Datagram datagram = aDatagram;
+  datagram.message.evacuations = mEvacuations.Orders();
+  mServices.send(datagram);
+}
+
+void
+FleetCore::OnEvacuations(const operators::OrderUpdate& aUpdate)
+{
+  const bool changed =
+    aUpdate.isComplete
+      ? mEvacuations.MergeComplete(aUpdate.evacuations, aUpdate.revision)
+      : mEvacuations.Merge(aUpdate.evacuations);
+  if (changed) {
+    OnEvacuationsChanged();
+    mMemberAgent.Send(mMemberAgent.Members().ZoneVersionHints());
+  }
+}
+
+void
+FleetCore::MergeEvacuations(const std::vector<ZoneEvacuation>& aOrders)
+{
+  if (mEvacuations.Merge(aOrders)) {
+    OnEvacuationsChanged();
+    mMemberAgent.Send(mMemberAgent.Members().VersionHints());
+  }
+}
+
+void
+FleetCore::OnEvacuationsChanged()
+{
+  std::string zones;
+  for (const auto& it : mEvacuations.EvacuatedZones()) {
+    zones += (zones.empty() ? "" : ",") + it;
+  }
+  mServices.logEvent("evacuated_zones", zones.empty() ? "none" : zones);
+  Publish();
+}
+
 void
 FleetCore::OnConfigApplied(bool aFromStore)
 {
@@ -232,9 +283,10 @@
   }
   std::optional<backends::BackendServer> backend;
   if (const ServerReport* ready = mBackendServer.Ready()) {
-    backend = backends::BackendServer{ ready->address, ready->service,
-                                       ready->version, ready->slots,
-                                       ready->id,      ready->startedAtMs };
+    backend = backends::BackendServer{ ready->address,   ready->service,
+                                       ready->version,   ready->slots,
+                                       ready->id,        ready->startedAtMs,
+                                       ready->warmupLeft };
   }
   mServices.setBackend(std::move(backend), std::move(aDone));
   UpdateSelf();
@@ -310,6 +362,7 @@
     std::make_shared<routing::RoutingView>(mConfig.Current(), mRoutes);
   view->open = true;
   view->retries = RetryOptionsPerNode();
+  view->evacuatedZones = mEvacuations.EvacuatedZones();
   AddTargets(*view, Members());
   for (const auto& [id, entry] : mConfig.Current()->entries) {
     if (id.kind == config::EntryKind::kService) {
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -78,6 +78,7 @@
   options.zone = aSettings.zone;
   options.maxConfigApplyTime = aSettings.configApplyTime;
   options.linkBytesPerMs = aSettings.linkMbps * kBytesPerMsPerMbps;
+  options.warmupOvershoot = aSettings.warmupOvershoot;
   options.callerDialect = aPlatform.callerDialect;
   options.backendDialect = aPlatform.backendDialect;
   options.links.connectTimeout = kLinkConnectTimeout;
@@ -300,6 +301,10 @@
     }
     mMetrics.SetGauge(
       "members", {}, static_cast<double>(members.Members().size() + 1));
+    mMetrics.SetGauge(
+      "evacuated_zones",
+      {},
+      static_cast<double>(mCore.Evacuations().EvacuatedZones().size()));
     mMetrics.SetGauge("serving", {}, mCore.IsReady() ? 1 : 0);
     http::Response response = Answer(kStatusOk, mMetrics.Expose());
     response.headers.push_back(
--- a/src/node/MemberTargets.cpp
+++ b/src/node/MemberTargets.cpp
@@ -13,12 +13,14 @@
   const auto add = [&aView](const MemberRecord& aRecord, bool aSuspect) {
     if (aRecord.state == nodes::MemberState::kServing &&
         !aRecord.service.empty()) {
-      aView.targets[aRecord.service].push_back({ aRecord.node,
-                                                 LinkAddress(aRecord),
-                                                 aRecord.zone,
-                                                 aRecord.version,
-                                                 aRecord.slots,
-                                                 aSuspect });
+      aView.targets[aRecord.service].push_back(
+        { aRecord.node,
+          LinkAddress(aRecord),
+          aRecord.zone,
+          aRecord.version,
+          aRecord.slots,
+          aSuspect,
+          aView.evacuatedZones.contains(aRecord.zone) });
     }
   };
   add(aMembers.Self(), false);
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -96,10 +96,27 @@
 {
   mServices.loop.Post([this, view = std::move(aView)] {
     mDispatcher.SetSuspectsOfOtherNodes(view->suspects);
+    mDispatcher.SetEvacuated(view->evacuatedZones.contains(mOptions.zone));
+    mDispatcher.SetWarmup(WarmupOf(*view));
     mForwarder.SetView(view);
   });
 }
 
+backends::WarmupTable
+TrafficPlane::WarmupOf(const routing::RoutingView& aView) const
+{
+  backends::WarmupTable table;
+  for (const auto& [service, split] : aView.splits) {
+    const auto* entry = aView.config->Get<config::ServiceEntry>(
+      config::EntryKind::kService, service);
+    if (entry && entry->warmupCallsPerSecond > 0) {
+      table[service] = { entry->warmupCallsPerSecond * mOptions.warmupOvershoot,
+                         entry->healthPath };
+    }
+  }
+  return table;
+}
+
 void
 TrafficPlane::ConfirmConfig(Microseconds aAsOf)
 {
@@ -177,6 +194,7 @@
 {
   CloseAfterPause();
   mBodies.OnTick();
+  mDispatcher.OnTick();
   const Microseconds now = BootTime();
   mLongPauses.Tick(now);
   mShortPauses.Tick(now);
@@ -188,6 +206,7 @@
   if (mLongPauses.TakePause(BootTime())) {
     mServices.metrics.Count("pauses_total", {});
     mForwarder.Close();
+    mDispatcher.OnPause();
     mServices.onPause();
   }
 }
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -57,6 +57,9 @@
     /** Time within which an accepted configuration is in force on this node. */
     Milliseconds maxConfigApplyTime{ 7000 };
     double linkBytesPerMs = 0; ///< rate of the VM's link; 0 if it is not known
+    /** Factor by which the calls of any second may exceed the rate that a cold
+     * backend server takes. */
+    double warmupOvershoot = 1;
     callers::CallerDialect callerDialect;
     backends::BackendDialect backendDialect;
     nodes::LinkClientOptions links;
@@ -115,6 +118,8 @@
   void OnCall(nodes::LinkRequest aRequest,
               const nodes::LinkResponderPtr& aResponder);
   void OnTick();
+  /** Returns what a view says of the warm-up of services' servers. */
+  backends::WarmupTable WarmupOf(const routing::RoutingView& aView) const;
   /** Holds new calls after a pause, until the configuration is confirmed. */
   void CloseAfterPause();
 
--- a/src/nodes/GossipCodec.cpp
+++ b/src/nodes/GossipCodec.cpp
@@ -80,6 +80,29 @@
                        aIn.stage(), aIn.condemned(), aIn.reason() };
 }
 
+template<typename Message>
+void
+WriteEvacuations(const std::vector<ZoneEvacuation>& aOrders, Message& aOut)
+{
+  for (const auto& it : aOrders) {
+    wire::ZoneEvacuation& order = *aOut.add_evacuations();
+    order.set_zone(it.zone);
+    order.set_revision(it.revision);
+    order.set_active(it.active);
+  }
+}
+
+template<typename Message>
+std::vector<ZoneEvacuation>
+ReadEvacuations(const Message& aIn)
+{
+  std::vector<ZoneEvacuation> orders;
+  for (const auto& it : aIn.evacuations()) {
+    orders.push_back({ it.zone(), it.revision(), it.active() });
+  }
+  return orders;
+}
+
 /** Converts a repeated field; returns false if any element is invalid. */
 template<typename Repeated>
 bool
@@ -120,6 +143,7 @@
   for (const auto& it : aMessage.moves) {
     ToWire(it, *out.add_moves());
   }
+  WriteEvacuations(aMessage.evacuations, out);
   return out.SerializeAsString();
 }
 
@@ -150,6 +174,7 @@
   for (const auto& it : in.moves()) {
     message.moves.push_back(FromWire(it));
   }
+  message.evacuations = ReadEvacuations(in);
   return message;
 }
 
@@ -183,6 +208,7 @@
   for (const auto& it : aAnswer.moves) {
     ToWire(it, *out.add_moves());
   }
+  WriteEvacuations(aAnswer.evacuations, out);
   return out.SerializeAsString();
 }
 
@@ -200,6 +226,7 @@
   for (const auto& it : in.moves()) {
     answer.moves.push_back(FromWire(it));
   }
+  answer.evacuations = ReadEvacuations(in);
   return answer;
 }
 
--- a/src/routing/LoadBalancer.cpp
+++ b/src/routing/LoadBalancer.cpp
@@ -40,7 +40,7 @@
   const VersionSelector selector = VersionSelector::Parse(aCriteria.version);
   Candidates all;
   for (const auto& target : it->second) {
-    if (selector.Matches(target.version) &&
+    if (!target.evacuated && selector.Matches(target.version) &&
         std::ranges::find(aCriteria.excludedNodes, target.node) ==
           aCriteria.excludedNodes.end()) {
       all.push_back(&target);
--- a/src/routing/RoutingView.cpp
+++ b/src/routing/RoutingView.cpp
@@ -1,5 +1,7 @@
 #include "knapweedpaddle/routing/RoutingView.h"
 
+#include <algorithm>
+
 namespace knapweedpaddle::routing {
 
 RoutingView::RoutingView(config::SnapshotPtr aConfig)
@@ -20,6 +22,14 @@
   return routes ? routes->Find(aHost, aPath) : nullptr;
 }
 
+bool
+RoutingView::IsEvacuated(const std::string& aService) const
+{
+  const auto it = targets.find(aService);
+  return it != targets.end() && !it->second.empty() &&
+         std::ranges::all_of(it->second, &Target::evacuated);
+}
+
 std::vector<std::string>
 RoutingView::VersionsFor(const std::string& aService,
                          config::CallClass aClass,
--- a/tests/backends/BackendDispatcherTest.cpp
+++ b/tests/backends/BackendDispatcherTest.cpp
@@ -25,6 +25,14 @@
     : tracer("test", 0, 1)
     , server(loop,
              [this](const http::ExchangePtr& aExchange) {
+               if (aExchange->Message().target == "/health") {
+                 ++healthChecks;
+                 http::Response response;
+                 response.status = 200;
+                 response.headers = { { "knapweed-warmup-ms", warmupMs } };
+                 aExchange->Respond(std::move(response));
+                 return;
+               }
                arrivals.push_back(std::chrono::steady_clock::now());
                if (answersAtOnce) {
                  http::Response response;
@@ -90,6 +98,8 @@
   bool answersAtOnce = false;
   int answerStatus = 200;
   std::vector<http::Header> answerHeaders;
+  int healthChecks = 0;
+  std::string warmupMs = "0"; ///< warm-up time that health checks tell
   std::vector<Timestamp> arrivals;
   std::vector<http::ExchangePtr> pending;
   http::Server server;
@@ -283,3 +293,81 @@
   }
   CHECK(runs == 3);
 }
+
+// Guards against calls that a peer with an older view still sends to a zone
+// that operators have evacuated.
+TEST_CASE("the owner in an evacuated zone refuses new and queued calls",
+          "[owner][evacuation]")
+{
+  Fixture it;
+  for (int n = 0; n < 6; ++n) {
+    it.Run();
+  }
+  it.RunLoopFor(Milliseconds(40));
+  REQUIRE(it.pending.size() == 4);
+  it.dispatcher.SetEvacuated(true);
+  it.Run();
+  it.RunLoopFor(Milliseconds(40));
+  CHECK(it.answered == 3);
+  // A report must not end the evacuation, and calls in progress are answered.
+  it.dispatcher.SetBackend(it.backend);
+  it.Run();
+  for (const auto& exchange : std::exchange(it.pending, {})) {
+    http::Response response;
+    response.status = 200;
+    exchange->Respond(std::move(response));
+  }
+  it.RunLoopFor(Milliseconds(40));
+  CHECK(it.answered == 8);
+  CHECK(it.arrivals.size() == 4);
+  it.dispatcher.SetEvacuated(false);
+  it.Run();
+  it.RunLoopFor(Milliseconds(40));
+  CHECK(it.arrivals.size() == 5);
+}
+
+// Guards against a server that is crowded as it returns from an outage, before
+// its first report says that it is cold.
+TEST_CASE("a server that was away is cold until its health check answers",
+          "[owner][warmup]")
+{
+  constexpr std::size_t kCallsPerSecond = 5;
+  Fixture it;
+  it.answersAtOnce = true;
+  it.dispatcher.SetWarmup({ { "svc", { kCallsPerSecond, "/health" } } });
+  it.RunLoopFor(Milliseconds(1100)); // calls of an earlier process
+  it.RunCallsFor(Milliseconds(500));
+  REQUIRE(it.arrivals.size() > 2 * kCallsPerSecond);
+  SECTION("it is cold")
+  {
+    it.warmupMs = "5000";
+    it.dispatcher.OnPause();
+    it.RunLoopFor(Milliseconds(1100));
+    it.arrivals.clear();
+    it.RunCallsFor(Milliseconds(900));
+    CHECK(it.arrivals.size() <= kCallsPerSecond);
+    CHECK(it.arrivals.size() >= kCallsPerSecond - 1);
+  }
+  SECTION("it is warm")
+  {
+    it.dispatcher.OnPause();
+    it.RunLoopFor(Milliseconds(100));
+    it.arrivals.clear();
+    it.RunCallsFor(Milliseconds(500));
+    CHECK(it.arrivals.size() > 2 * kCallsPerSecond);
+  }
+  CHECK(it.healthChecks == 1);
+}
+
+// Guards against health checks, which cost slots, where nobody asked for them.
+TEST_CASE("a server without a warm-up limit is not asked for its health",
+          "[owner][warmup]")
+{
+  Fixture it;
+  it.answersAtOnce = true;
+  it.dispatcher.SetWarmup({ { "other", { 5, "/health" } } });
+  it.dispatcher.OnPause();
+  it.RunCallsFor(Milliseconds(300));
+  CHECK(it.healthChecks == 0);
+  CHECK(it.arrivals.size() > 20);
+}
--- a/tests/backends/SlotQueueTest.cpp
+++ b/tests/backends/SlotQueueTest.cpp
@@ -31,6 +31,7 @@
   explicit Fixture(std::uint32_t aCheckSlots)
     : queue(aCheckSlots,
             rateLimit,
+            warmup,
             [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
               granted.push_back(aId);
               refusals[aId] = aRefusal;
@@ -53,6 +54,7 @@
   std::map<std::uint64_t, std::optional<SlotRefusal>> refusals;
   SlotRefusal refusal{};
   ServerRateLimit rateLimit = Unlimited();
+  WarmupLimit warmup{ kNow };
   SlotQueue queue;
 };
 
@@ -229,12 +231,15 @@
   SlotQueue* current = nullptr;
   Timestamp now = kNow;
   ServerRateLimit rateLimit = Unlimited();
-  SlotQueue queue(
-    0, rateLimit, [&](std::uint64_t, std::optional<SlotRefusal> aRefusal) {
-      if (!aRefusal) {
-        ends.emplace(now + kService, 0);
-      }
-    });
+  WarmupLimit warmup{ kNow };
+  SlotQueue queue(0,
+                  rateLimit,
+                  warmup,
+                  [&](std::uint64_t, std::optional<SlotRefusal> aRefusal) {
+                    if (!aRefusal) {
+                      ends.emplace(now + kService, 0);
+                    }
+                  });
   current = &queue;
   queue.SetSlots(kSlots);
   SlotRefusal refusal{};
@@ -291,6 +296,7 @@
   Overload()
     : queue(0,
             rateLimit,
+            warmup,
             [this](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
               aRefusal ? Refused(aId) : Started(aId);
             })
@@ -370,6 +376,7 @@
   int served = 0;
   int onTime = 0;
   ServerRateLimit rateLimit = Unlimited();
+  WarmupLimit warmup{ kNow };
   SlotQueue queue;
 };
 
--- a/tests/callers/CallForwarderTest.cpp
+++ b/tests/callers/CallForwarderTest.cpp
@@ -298,3 +298,23 @@
     CHECK(it.CountRuns() == 1);
   }
 }
+
+// Guards against callers that wait for a server which operators have closed to
+// them.
+TEST_CASE("a call is refused at once if all servers are in evacuated zones",
+          "[calls][evacuation]")
+{
+  Fixture it;
+  const auto view = std::make_shared<routing::RoutingView>(*it.ViewWithPeer());
+  view->targets["svc"][0].evacuated = true;
+  it.forwarder.SetView(view);
+  it.Call(Milliseconds(3000));
+  it.RunLoopFor(Milliseconds(50));
+  CHECK(it.peerCalls.size() == 1);
+  const auto closed = std::make_shared<routing::RoutingView>(*view);
+  closed->targets["svc"][1].evacuated = true;
+  it.forwarder.SetView(closed);
+  it.Call(Milliseconds(3000));
+  REQUIRE(it.results.size() == 1);
+  CHECK(it.results[0].outcome == CallOutcome::kNotRun);
+}
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -6,6 +6,7 @@
 #include "ReportMessage.h"
 #include "SettingsFile.h"
 #include "knapweedpaddle/backends/BackendServerTracker.h"
+#include "knapweedpaddle/config/EntryCodec.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -252,3 +253,59 @@
     CHECK(reason.find(it.reason) != std::string::npos);
   }
 }
+
+TEST_CASE(
+  "warm-up, public routes and teams of a configuration are decoded, and "
+  "survive the transfer between nodes",
+  "[platform]")
+{
+  std::string reason;
+  const auto config = DecodeConfig(
+    R"({"version": "r3", "routes": {
+         "r": {"host": "a", "prefix": "/", "kind": "safe", "service": "s",
+               "public": true}},
+        "services": {"s": {"health-path": "/h", "warmup-s": 3,
+                           "warmup-per-s": 11.5}},
+        "tenants": {"t": {"api-keys": ["k1", "k2"], "priority": 0,
+                          "rate-per-s": 20.5, "burst": 30},
+                    "u": {"api-keys": []}}})",
+    reason);
+  REQUIRE(config);
+  config::ConfigReason decodeReason;
+  const auto copy =
+    config::DecodeSnapshot(config::EncodeSnapshot(*config), decodeReason);
+  INFO(decodeReason.message);
+  REQUIRE(copy);
+  const auto* service =
+    copy->Get<config::ServiceEntry>(config::EntryKind::kService, "s");
+  CHECK(service->healthPath == "/h");
+  CHECK(service->warmupCallsPerSecond == 11.5);
+  CHECK(
+    copy->Get<config::RouteEntry>(config::EntryKind::kRoute, "r")->isPublic);
+  const auto* team =
+    copy->Get<config::TeamEntry>(config::EntryKind::kTeam, "t");
+  CHECK(team->keys == std::vector<std::string>{ "k1", "k2" });
+  CHECK(team->priority == 0);
+  CHECK(team->callsPerSecond == 20.5);
+  CHECK(team->burst == 30);
+  const auto* unlimited =
+    copy->Get<config::TeamEntry>(config::EntryKind::kTeam, "u");
+  CHECK(unlimited->keys.empty());
+  CHECK_FALSE(unlimited->priority);
+  CHECK(copy->entries == config->entries);
+}
+
+// Guards against callers that are taken for another team's, and against a log
+// line that shows the key.
+TEST_CASE("a configuration in which two teams hold a key is refused",
+          "[platform]")
+{
+  std::string reason;
+  CHECK_FALSE(DecodeConfig(
+    R"({"version": "r3", "routes": {}, "services": {},
+        "tenants": {"t": {"api-keys": ["secret"]},
+                    "u": {"api-keys": ["other", "secret"]}}})",
+    reason));
+  CHECK(reason.find("version 3") != std::string::npos);
+  CHECK(reason.find("secret") == std::string::npos);
+}
