Serve teams: keys, their withdrawal, and allowances over all nodes

Cause: the code had no teams.

Change: the ingress node removes the key, names the team or answers 401 (TeamAdmission); a key counts only if the configuration was confirmed within revoke-s before the call arrived; nodes report the calls of teams to coordinators, which limit teams that would use up their bucket (AllowanceCoordinator).

--- a/include/knapweedpaddle/backends/BackendDialect.h
+++ b/include/knapweedpaddle/backends/BackendDialect.h
@@ -13,6 +13,9 @@
   std::string callId = "knapweed-call-id";
   std::string timeLeftMs = "knapweed-timeout-ms";
   std::string trace = "traceparent";
+  /** Request header: the team of the caller, where the configuration holds
+   * teams. */
+  std::string team = "knapweed-team";
   /** Request header: id of the only server instance that may run the call. */
   std::string expectServer;
   /** Response header: the server did not run the call. */
--- a/include/knapweedpaddle/backends/BackendDispatcher.h
+++ b/include/knapweedpaddle/backends/BackendDispatcher.h
@@ -43,6 +43,9 @@
   /** Start of the owner's server that the ingress node knows to be leaving, as
    * BackendServer::StartName() returns it; empty if it knows of none. */
   std::string leavingServer{};
+  /** Team of the caller; empty if the configuration holds no teams, or the call
+   * needs none. */
+  std::string team{};
 };
 
 /** The backend server that is registered at this node. */
--- a/include/knapweedpaddle/callers/Call.h
+++ b/include/knapweedpaddle/callers/Call.h
@@ -44,6 +44,22 @@
   { CallOutcome::kUnknown, "unknown" },
 } };
 
+/** Why a call that did not run was refused. */
+enum class RefusalCause
+{
+  kUnavailable, ///< it may be served later, or by another node
+  kRouteMissing,
+  kUnknownKey, ///< no team holds the caller's key
+  kAllowanceSpent,
+};
+
+inline constexpr std::array<EnumName<RefusalCause>, 4> kRefusalCauseNames{ {
+  { RefusalCause::kUnavailable, "unavailable" },
+  { RefusalCause::kRouteMissing, "route_missing" },
+  { RefusalCause::kUnknownKey, "unknown_key" },
+  { RefusalCause::kAllowanceSpent, "allowance_spent" },
+} };
+
 /** Result of a call, with the answer of the backend server if there is one. */
 struct CallResult
 {
@@ -56,7 +72,7 @@
   std::string callId;
   /** With kNotRun: the backend server received the call and refused it. */
   bool arrived = false;
-  bool routeMissing = false; ///< with kNotRun: no route matches the call
+  RefusalCause cause = RefusalCause::kUnavailable; ///< with kNotRun
   /** Start of the backend server whose answer says that it leaves, as
    * backends::BackendServer::StartName() returns it; else empty. */
   std::string leavingServer;
--- a/include/knapweedpaddle/callers/CallForwarder.h
+++ b/include/knapweedpaddle/callers/CallForwarder.h
@@ -4,6 +4,7 @@
 #include "knapweedpaddle/callers/Call.h"
 #include "knapweedpaddle/callers/CallJournal.h"
 #include "knapweedpaddle/common/StopWindow.h"
+#include "knapweedpaddle/common/TeamAllowance.h"
 #include "knapweedpaddle/nodes/LinkClient.h"
 #include "knapweedpaddle/routing/RoutingView.h"
 
@@ -38,6 +39,14 @@
     std::string zone;
     /** Time within which an accepted configuration is in force on this node. */
     Milliseconds maxConfigApplyTime{ 2000 };
+    /** Name of the header with a caller's key, and of the one with its team. */
+    std::string keyHeader{};
+    std::string teamHeader{};
+    /** A caller's key is accepted only if the configuration was known to be the
+     * newest within this time; 0: whatever its age. */
+    Milliseconds maxKeyAge{ 0 };
+    /** Slots that share the teams' allowances; see TeamAllowances. */
+    std::size_t allowanceSlots = 0;
   };
 
   CallForwarder(Services aServices, Identity aIdentity, std::uint64_t aSeed);
@@ -52,6 +61,15 @@
    * newest one. */
   void ConfirmConfig(Microseconds aAsOf);
 
+  /** Takes a coordinator's answer about the allowances of teams. */
+  void UpdateAllowances(const AllowanceUpdate& aUpdate);
+
+  /** Returns the calls of teams since the process started, to be reported. */
+  std::vector<TeamUsage> TakeTeamUsages();
+
+  /** Returns true if the calls of teams should be reported soon. */
+  bool HasTeamSurge() const;
+
   /** Holds new calls until the configuration is confirmed as of now or later,
    * but for a limited time, so that a node that reaches nobody serves. */
   void Close();
--- a/include/knapweedpaddle/callers/CallerDialect.h
+++ b/include/knapweedpaddle/callers/CallerDialect.h
@@ -19,6 +19,9 @@
   std::string outcome = "Knapweed-Outcome";
   std::string reason = "Knapweed-Reason";
   std::string retryAfter = "Retry-After"; ///< when to try again, in seconds
+  /** The caller's secret key, where the configuration holds teams. It is never
+   * forwarded. */
+  std::string key = "Knapweed-Key";
   /** Added to each call with the name of the calling service. */
   std::string callerService;
   /** Whether the statuses 408, 421, 429 and 503 tell callers that a call did
--- a/include/knapweedpaddle/node/FleetCore.h
+++ b/include/knapweedpaddle/node/FleetCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "knapweedpaddle/backends/BackendServerTracker.h"
+#include "knapweedpaddle/node/AllowanceAgent.h"
 #include "knapweedpaddle/node/ConfigFollower.h"
 #include "knapweedpaddle/node/ConfigFreshness.h"
 #include "knapweedpaddle/node/EvacuationTracker.h"
@@ -32,6 +33,8 @@
      * view was the newest one. */
     std::function<void(Microseconds)> confirm;
     std::function<void(const config::CallerLimits&)> setCallerLimits;
+    /** Passes what this node may admit of the calls of teams. */
+    std::function<void(const AllowanceUpdate&)> updateAllowances;
     /**
      * Sets the backend server to which this node passes calls, or none. The
      * task runs once the setting is in effect.
@@ -96,6 +99,12 @@
     mMemberAgent.ReportSuspects(std::move(aSuspects));
   }
 
+  /** Takes the calls of teams at this node since the process started. */
+  void TakeTeamUsages(const std::vector<TeamUsage>& aUsages)
+  {
+    mAllowances.TakeUsages(aUsages);
+  }
+
   /** Reads the store and contacts peers again after a pause of the process. */
   void OnPause();
 
@@ -105,8 +114,15 @@
   /** Notifies peers that this node leaves, and removes its row in the store. */
   void Leave();
 
-  /** True while callers may send calls to this node. */
-  bool IsReady() const { return mConfig.HasConfig() && !mStopping; }
+  /** True while callers may send calls to this node. Callers with keys go to
+   * other nodes before this one must refuse them. */
+  bool IsReady() const
+  {
+    return mConfig.HasConfig() && !mStopping && CanCheckKeys();
+  }
+
+  /** Returns the number of teams that this node limits as a coordinator. */
+  std::size_t LimitedTeams() const { return mAllowances.LimitedTeams(); }
 
   const ConfigFollower& Config() const { return mConfig; }
   const ConfigFreshness& Freshness() const { return mFreshness; }
@@ -122,6 +138,10 @@
   void OnEvacuations(const operators::OrderUpdate& aUpdate);
   void MergeEvacuations(const std::vector<ZoneEvacuation>& aOrders);
   void OnEvacuationsChanged();
+  void SetTeams();
+  /** Returns false if keys may have been withdrawn that this node accepts, or
+   * soon will be if the configuration is not confirmed. */
+  bool CanCheckKeys() const;
   void UpdateSelf();
   void Publish();
   /** Returns this node's part of the retries allowed to all nodes together. */
@@ -134,8 +154,10 @@
   ConfigFollower mConfig;
   ConfigFreshness mFreshness;
   RolloutAgent mRolloutAgent;
+  AllowanceAgent mAllowances;
   backends::BackendServerTracker mBackendServer;
-  routing::RouteTablePtr mRoutes; ///< routes of the current configuration
+  routing::RouteTablePtr mRoutes;   ///< routes of the current configuration
+  routing::TeamDirectoryPtr mTeams; ///< teams of the current configuration
   /** Membership::ChangeCount() when the view was last published. */
   std::uint64_t mPublishedMemberChanges = 0;
   bool mIsViewOutdated = true;
--- a/include/knapweedpaddle/node/MemberAgent.h
+++ b/include/knapweedpaddle/node/MemberAgent.h
@@ -45,6 +45,10 @@
               std::uint64_t aRandomSeed);
 
   nodes::Membership& Members() { return mMembers; }
+  /** Returns true once a peer has told this node the members of the fleet, or
+   * the store has listed no other node. */
+  bool KnowsFleet() const { return mKnowsFleet; }
+
   const nodes::Membership& Members() const { return mMembers; }
 
   /**
@@ -104,6 +108,7 @@
   std::uint32_t mPendingJoins = 0;     ///< join requests without an answer yet
   std::uint32_t mSettleRoundsLeft = 0; ///< join rounds left once serving
   bool mAnyPeerAnswered = false; ///< true if a peer answered in this round
+  bool mKnowsFleet = false;
   bool mRowWritten = false;
   bool mRetryPending = false;
   bool mRewritePending = false; ///< RewriteZoneRows() is to be repeated
--- a/include/knapweedpaddle/nodes/GossipMessage.h
+++ b/include/knapweedpaddle/nodes/GossipMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "knapweedpaddle/common/TeamAllowance.h"
 #include "knapweedpaddle/common/Time.h"
 #include "knapweedpaddle/common/ZoneEvacuation.h"
 #include "knapweedpaddle/nodes/MemberRecord.h"
@@ -18,9 +19,11 @@
   kProgress = 5,    ///< carries move progress
   kConfigQuery = 6, ///< asks whether the sender's configuration is the newest
   kConfigAnswer = 7,
+  kAllowanceReport = 8, ///< tells a coordinator the calls of teams
+  kAllowanceAnswer = 9,
 };
 
-inline constexpr std::array<EnumName<GossipKind>, 7> kGossipKindNames{ {
+inline constexpr std::array<EnumName<GossipKind>, 9> kGossipKindNames{ {
   { GossipKind::kPing, "ping" },
   { GossipKind::kAck, "ack" },
   { GossipKind::kPingRequest, "ping_request" },
@@ -28,6 +31,8 @@
   { GossipKind::kProgress, "progress" },
   { GossipKind::kConfigQuery, "config_query" },
   { GossipKind::kConfigAnswer, "config_answer" },
+  { GossipKind::kAllowanceReport, "allowance_report" },
+  { GossipKind::kAllowanceAnswer, "allowance_answer" },
 } };
 
 /** Content of one gossip datagram. */
@@ -48,6 +53,11 @@
   std::vector<MemberUpdate> updates;
   std::vector<MoveProgress> moves;
   std::vector<ZoneEvacuation> evacuations;
+  std::vector<TeamUsage> usages;   ///< in a kAllowanceReport
+  std::uint64_t incarnation = 0;   ///< in a kAllowanceReport
+  std::uint32_t allowanceSlot = 0; ///< in a kAllowanceReport
+  std::vector<TeamGrant> grants;   ///< in a kAllowanceAnswer
+  bool allowancesDecided = false;  ///< in a kAllowanceAnswer
 };
 
 /** A gossip message and its destination. */
--- a/include/knapweedpaddle/routing/RoutingView.h
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -3,6 +3,7 @@
 #include "knapweedpaddle/nodes/MemberRecord.h"
 #include "knapweedpaddle/routing/RetryPolicy.h"
 #include "knapweedpaddle/routing/RouteTable.h"
+#include "knapweedpaddle/routing/TeamDirectory.h"
 
 #include <map>
 #include <memory>
@@ -48,11 +49,14 @@
   /** Indexes the routes of a configuration. */
   explicit RoutingView(config::SnapshotPtr aConfig);
 
-  /** Reuses an existing route table of the same configuration. */
-  RoutingView(config::SnapshotPtr aConfig, RouteTablePtr aRoutes);
+  /** Reuses the existing indexes of the same configuration. */
+  RoutingView(config::SnapshotPtr aConfig,
+              RouteTablePtr aRoutes,
+              TeamDirectoryPtr aTeams);
 
   config::SnapshotPtr config;
   RouteTablePtr routes;                               ///< routes of config
+  TeamDirectoryPtr teams;                             ///< teams of config
   std::map<std::string, std::vector<Target>> targets; ///< keyed by service
   std::map<std::string, VersionSplit> splits;         ///< keyed by service
   /** Zones whose backend servers get no calls, by order of operators. */
--- a/include/knapweedpaddle/settings/FleetSettings.h
+++ b/include/knapweedpaddle/settings/FleetSettings.h
@@ -4,15 +4,18 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace knapweedpaddle::settings {
 
 /** Settings of a node that runs on the users' platform (node::FleetNode). */
 struct FleetSettings
 {
-  std::string name;           ///< name of the VM
-  std::string address;        ///< IPv4 address of the VM
-  std::string zone;           ///< availability zone of the VM
+  std::string name;    ///< name of the VM
+  std::string address; ///< IPv4 address of the VM
+  std::string zone;    ///< availability zone of the VM
+  /** All availability zones of the fleet; at least the VM's own. */
+  std::vector<std::string> zones;
   std::string callerAddress;  ///< "IP:port" to serve the VM's own callers at
   std::string readyAddress;   ///< "IP:port" to serve readiness checks at
   std::string reportAddress;  ///< "IP:port" for reports of the backend server
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -453,6 +453,7 @@
     }
     set(dialect.timeLeftMs, std::to_string(left.count()));
     set(dialect.trace, aSpan.ToHeader());
+    set(aCall.team.empty() ? "" : dialect.team, aCall.team);
     set(mBackend->id.empty() ? "" : dialect.expectServer, mBackend->id);
     return request;
   }
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -1,5 +1,6 @@
 #include "knapweedpaddle/callers/CallForwarder.h"
 
+#include "TeamAdmission.h"
 #include "knapweedpaddle/callers/CallerTimeoutEstimator.h"
 #include "knapweedpaddle/callers/HeldCalls.h"
 #include "knapweedpaddle/callers/RetryAdvice.h"
@@ -108,6 +109,10 @@
     std::uint32_t triesNotArrived = 0;
     bool mayHaveRun = false; ///< a failed try may have been executed
     RetryAdvice retryAdvice; ///< from the servers that refused the call
+    /** When the caller may try again, if the call was not admitted. */
+    std::optional<Milliseconds> retryAfter;
+    std::string team; ///< whose allowance the call is taken from, or empty
+    std::uint32_t priority = 0; ///< of the team, or else of the route
     bool finished = false;
     /** Result to return if no other try succeeds. */
     std::optional<CallResult> failure;
@@ -126,6 +131,11 @@
     , mRandom(aSeed + 1)
     , mView(std::make_shared<routing::RoutingView>())
     , mRepeats(mIdentity.maxConfigApplyTime)
+    , mTeams({ mIdentity.keyHeader,
+               mIdentity.teamHeader,
+               mIdentity.maxKeyAge,
+               mIdentity.allowanceSlots },
+             mServices.metrics)
     , mHeldCalls(aServices.loop)
   {
   }
@@ -144,6 +154,11 @@
   void ConfirmConfig(Microseconds aAsOf)
   {
     mRepeats.Confirm(aAsOf);
+    const bool wereKeysHeld = mTeams.AwaitsConfirmation(*mView);
+    mTeams.Confirm(aAsOf);
+    if (wereKeysHeld && !mClosedAt) {
+      mHeldCalls.ResumeAll();
+    }
     if (mClosedAt && aAsOf >= *mClosedAt) {
       Open();
     }
@@ -159,6 +174,18 @@
     });
   }
 
+  void UpdateAllowances(const AllowanceUpdate& aUpdate)
+  {
+    mTeams.Allowances().OnUpdate(aUpdate);
+  }
+
+  std::vector<TeamUsage> TakeTeamUsages()
+  {
+    return mTeams.Allowances().TakeUsages(BootTime());
+  }
+
+  bool HasTeamSurge() { return mTeams.Allowances().HasSurge(); }
+
   void BeginStop(const StopWindow& aWindow) { mStopWindow = aWindow; }
 
   void Drain()
@@ -229,7 +256,7 @@
    * is held. */
   void Start(const CallPtr& aCall)
   {
-    if (!IsOpen() && !mDraining) {
+    if ((!IsOpen() || mTeams.AwaitsConfirmation(*mView)) && !mDraining) {
       Hold(aCall,
            "this node does not hold a configuration that it may serve yet",
            [this, aCall] { Start(aCall); });
@@ -308,7 +335,7 @@
     }
     const config::RouteEntry* route = FindRoute(aCall.request);
     if (!route) {
-      aCall.failure.emplace().routeMissing = true;
+      aCall.failure.emplace().cause = RefusalCause::kRouteMissing;
       return "no route matches path \"" + aCall.request.path + "\" of host \"" +
              aCall.request.host + "\"";
     }
@@ -334,6 +361,9 @@
     if (!route->limit.empty() && !TakeLimit(route->limit, aCall.receivedAt)) {
       return "limit \"" + route->limit + "\" is exceeded";
     }
+    if (std::string refusal = AdmitTeam(aCall); !refusal.empty()) {
+      return refusal;
+    }
     aCall.service = DrawService(*route);
     aCall.steps.push_back("route " + route->header.name + " of version " +
                           std::to_string(mView->config->version) +
@@ -341,6 +371,23 @@
     return {};
   }
 
+  /** Finds the team of a call and takes the call from its allowance; returns
+   * the reason why the call is refused, or "". */
+  std::string AdmitTeam(Call& aCall)
+  {
+    aCall.priority = aCall.route.priority;
+    auto admission =
+      mTeams.Admit(aCall.request, aCall.route, *mView, aCall.receivedAtBoot);
+    if (!admission.reason.empty()) {
+      aCall.failure.emplace().cause = admission.cause;
+      aCall.retryAfter = admission.retryAfter;
+      return admission.reason;
+    }
+    aCall.team = std::move(admission.team);
+    aCall.priority = admission.priority.value_or(aCall.priority);
+    return {};
+  }
+
   /** Returns the route of a request in the newest known configuration. */
   const config::RouteEntry* FindRoute(const CallRequest& aRequest) const
   {
@@ -492,7 +539,8 @@
     forwarded.version = aVersion;
     forwarded.route = aCall.route.header.name;
     forwarded.callClass = aCall.route.callClass;
-    forwarded.priority = aCall.route.priority;
+    forwarded.priority = aCall.priority;
+    forwarded.team = aCall.team;
     forwarded.configVersion = mView->config->version;
     if (!aCall.request.idempotencyKey.empty()) {
       forwarded.idempotencyKey =
@@ -751,7 +799,8 @@
     result.outcome = mayRun ? CallOutcome::kUnknown : CallOutcome::kNotRun;
     result.reason = aReason;
     result.callId = aCall->id;
-    result.retryAfter = aCall->retryAdvice.RetryAfter();
+    result.retryAfter =
+      aCall->retryAfter.value_or(aCall->retryAdvice.RetryAfter());
     const std::string outcome(NameOf(kCallOutcomeNames, result.outcome));
     aCall->steps.push_back(outcome + ": " + aReason);
     mServices.journal.Add({ aCall->id,
@@ -819,6 +868,9 @@
       return;
     }
     StopCall(aCall);
+    if (aResult.outcome == CallOutcome::kNotRun && !aCall->team.empty()) {
+      mTeams.Allowances().Refund(aCall->team);
+    }
     const auto elapsed = Now() - aCall->receivedAt;
     const std::string outcome(NameOf(kCallOutcomeNames, aResult.outcome));
     LogCall(*aCall, aResult, elapsed);
@@ -867,6 +919,7 @@
       { { "id", aCall.request.callId },
         { "call", aCall.id },
         { "route", aCall.route.header.name },
+        { "team", aCall.team },
         { "outcome", std::string(NameOf(kCallOutcomeNames, aResult.outcome)) },
         { "status", std::to_string(aResult.status) },
         { "ms", std::to_string(milliseconds) },
@@ -897,6 +950,7 @@
   std::mt19937_64 mRandom;
   routing::RoutingViewPtr mView;
   routing::RepeatPolicy mRepeats;
+  TeamAdmission mTeams;
   /** Retry policies, keyed by service. */
   std::unordered_map<std::string, routing::RetryPolicy> mRetryPolicies;
   std::unordered_map<std::string, RateLimit> mLimits;
@@ -937,6 +991,24 @@
   mImpl->ConfirmConfig(aAsOf);
 }
 
+void
+CallForwarder::UpdateAllowances(const AllowanceUpdate& aUpdate)
+{
+  mImpl->UpdateAllowances(aUpdate);
+}
+
+std::vector<TeamUsage>
+CallForwarder::TakeTeamUsages()
+{
+  return mImpl->TakeTeamUsages();
+}
+
+bool
+CallForwarder::HasTeamSurge() const
+{
+  return mImpl->HasTeamSurge();
+}
+
 void
 CallForwarder::Close()
 {
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -13,10 +13,10 @@
 namespace {
 
 constexpr int kStatusBadRequest = 400;
-constexpr int kStatusNotFound = 404;
 constexpr int kStatusBadGateway = 502;
-constexpr int kStatusUnavailable = 503;
 constexpr int kStatusGatewayTimeout = 504;
+/** Statuses of calls that did not run, indexed by RefusalCause. */
+constexpr std::array<int, 4> kRefusalStatuses{ 503, 404, 401, 429 };
 constexpr std::array<int, 4> kNotRunStatuses{ 408, 421, 429, 503 };
 
 /** Removes a header and returns its value, or "" if there is none. */
@@ -85,7 +85,7 @@
       return wouldImplyNotRun ? kStatusBadGateway : aResult.status;
     }
     case CallOutcome::kNotRun:
-      return aResult.routeMissing ? kStatusNotFound : kStatusUnavailable;
+      return kRefusalStatuses[static_cast<std::size_t>(aResult.cause)];
     case CallOutcome::kUnknown:
       break;
   }
@@ -231,8 +231,10 @@
     add(aCallerId.empty() ? "" : mDialect.callId, aCallerId);
     add(mDialect.reason, aResult.reason);
     response.body = aResult.reason + "\n";
+    const bool isForLater = aResult.cause == RefusalCause::kUnavailable ||
+                            aResult.cause == RefusalCause::kAllowanceSpent;
     if (aResult.outcome == CallOutcome::kNotRun && aResult.retryAfter &&
-        !aResult.routeMissing) {
+        isForLater) {
       add(mDialect.retryAfter, FormatSeconds(*aResult.retryAfter));
     }
   }
--- a/src/node/FleetCore.cpp
+++ b/src/node/FleetCore.cpp
@@ -17,6 +17,8 @@
 /** A backend server that misses this many reports in a row is taken as gone. */
 constexpr int kMaxMissedReports = 6;
 constexpr std::size_t kReadersPerZone = 2;
+/** Time that the platform takes to send callers to other nodes. */
+constexpr Milliseconds kReadinessLead{ 2000 };
 /** Share of FleetSettings::retryBudgetRatio that all nodes together may use. */
 constexpr double kGrantedRetryRatioShare = 0.65;
 /** Retries charged for one retry of a call that may have run: the calls that
@@ -114,6 +116,12 @@
               ", order " + RevisionText(aRollout.order.revision) +
               (aRollout.reason.empty() ? "" : ": " + aRollout.reason));
         } })
+  , mAllowances({ mServices.scheduler,
+                  mMemberAgent.Members(),
+                  [this](const nodes::Datagram& aDatagram) { Send(aDatagram); },
+                  [this] { return mMemberAgent.KnowsFleet(); },
+                  mServices.updateAllowances },
+                aSettings.zones)
   , mBackendServer(aSettings.backendAddress)
 {
 }
@@ -134,6 +142,7 @@
   mConfig.Tick();
   mFreshness.Tick();
   mRolloutAgent.OnTick();
+  mAllowances.Tick();
   if (mBackendServer.Expire(now,
                             mSettings.reportInterval * kMaxMissedReports)) {
     mServices.logEvent("backend_expired", "no reports from the backend server");
@@ -163,6 +172,7 @@
       aMessage.kind != nodes::GossipKind::kConfigAnswer) {
     mConfig.OnPeerMessage();
   }
+  mAllowances.Receive(aMessage);
   mFreshness.Receive(aMessage);
   mMemberAgent.Receive(aMessage);
   mRolloutAgent.Merge(aMessage.moves);
@@ -237,6 +247,8 @@
                      "version " + std::to_string(mConfig.Version()) + " from " +
                        mConfig.Source());
   mRoutes = std::make_shared<const routing::RouteTable>(mConfig.Current());
+  mTeams = std::make_shared<const routing::TeamDirectory>(mConfig.Current());
+  SetTeams();
   mMemberAgent.Members().SetConfigVersion(mConfig.Version());
   mServices.setCallerLimits(mConfig.Current()->callerLimits);
   UpdateSelf();
@@ -248,6 +260,30 @@
                                : members.VersionHints());
 }
 
+void
+FleetCore::SetTeams()
+{
+  std::unordered_map<TeamId, TeamAllowance> allowances;
+  for (const auto& [id, entry] : mConfig.Current()->entries) {
+    const auto* team = std::get_if<config::TeamEntry>(&entry);
+    if (team && team->callsPerSecond > 0) {
+      allowances[TeamIdOf(team->header.name)] = { team->callsPerSecond,
+                                                  team->burst };
+    }
+  }
+  mAllowances.SetAllowances(std::move(allowances));
+}
+
+bool
+FleetCore::CanCheckKeys() const
+{
+  if (mSettings.maxKeyAge <= Milliseconds(0) || !mTeams->HasTeams()) {
+    return true;
+  }
+  const auto age = mFreshness.Age();
+  return age && *age + kReadinessLead < mSettings.maxKeyAge;
+}
+
 void
 FleetCore::TakeEvidence(const backends::EvidenceTable& aEvidence)
 {
@@ -359,7 +395,7 @@
     return;
   }
   auto view =
-    std::make_shared<routing::RoutingView>(mConfig.Current(), mRoutes);
+    std::make_shared<routing::RoutingView>(mConfig.Current(), mRoutes, mTeams);
   view->open = true;
   view->retries = RetryOptionsPerNode();
   view->evacuatedZones = mEvacuations.EvacuatedZones();
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -79,6 +79,8 @@
   options.maxConfigApplyTime = aSettings.configApplyTime;
   options.linkBytesPerMs = aSettings.linkMbps * kBytesPerMsPerMbps;
   options.warmupOvershoot = aSettings.warmupOvershoot;
+  options.maxKeyAge = aSettings.maxKeyAge;
+  options.allowanceSlots = aSettings.zones.size();
   options.callerDialect = aPlatform.callerDialect;
   options.backendDialect = aPlatform.backendDialect;
   options.links.connectTimeout = kLinkConnectTimeout;
@@ -139,6 +141,9 @@
           [this](const config::CallerLimits& aLimits) {
             mTraffic.SetCallerLimits(aLimits);
           },
+          [this](const AllowanceUpdate& aUpdate) {
+            mTraffic.UpdateAllowances(aUpdate);
+          },
           [this](std::optional<backends::BackendServer> aBackend,
                  std::function<void()> aDone) {
             SetBackend(std::move(aBackend), std::move(aDone));
@@ -165,6 +170,11 @@
                      mCore.TakeSuspects(suspects);
                    });
                  },
+                 [this](std::vector<TeamUsage> aUsages) {
+                   mControlLoop.Post([this, usages = std::move(aUsages)] {
+                     mCore.TakeTeamUsages(usages);
+                   });
+                 },
                  [this] { mControlLoop.Post([this] { mCore.OnPause(); }); },
                  [this](const backends::BackendServer& aServer) {
                    mControlLoop.Post(
@@ -305,6 +315,8 @@
       "evacuated_zones",
       {},
       static_cast<double>(mCore.Evacuations().EvacuatedZones().size()));
+    mMetrics.SetGauge(
+      "limited_teams", {}, static_cast<double>(mCore.LimitedTeams()));
     mMetrics.SetGauge("serving", {}, mCore.IsReady() ? 1 : 0);
     http::Response response = Answer(kStatusOk, mMetrics.Expose());
     response.headers.push_back(
--- a/src/node/MemberAgent.cpp
+++ b/src/node/MemberAgent.cpp
@@ -252,6 +252,9 @@
     for (const auto& it : *aRows) {
       addresses.push_back(it.value);
     }
+    const std::string self = LinkAddress(mMembers.Self());
+    mKnowsFleet |= std::ranges::all_of(
+      addresses, [&self](const auto& aItem) { return aItem == self; });
   } else {
     LogStoreFailure("member_rows_unread", aReason.message);
   }
@@ -334,6 +337,7 @@
       [this](const std::optional<nodes::JoinAnswer>& aAnswer) {
         if (aAnswer) {
           mAnyPeerAnswered = true;
+          mKnowsFleet = true;
           mMembers.MergeUpdates(aAnswer->members, mServices.scheduler.Now());
           mServices.onJoinAnswer(*aAnswer);
         }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -78,6 +78,7 @@
                  [this](std::vector<CrashSuspect> aSuspects) {
                    mControl.TakeSuspects(std::move(aSuspects));
                  },
+                 {},
                  [this] { mControl.OnPause(); },
                  {},
                  [this](callers::CallRequest aRequest,
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -41,7 +41,13 @@
                  mServices.metrics,
                  mServices.tracer,
                  mServices.journal },
-               { mOptions.node, mOptions.zone, mOptions.maxConfigApplyTime },
+               { mOptions.node,
+                 mOptions.zone,
+                 mOptions.maxConfigApplyTime,
+                 mOptions.callerDialect.key,
+                 mOptions.backendDialect.team,
+                 mOptions.maxKeyAge,
+                 mOptions.allowanceSlots },
                aRandomSeed)
   , mBodies(mDispatcher,
             mServices.metrics,
@@ -77,6 +83,7 @@
       mReportedSuspects = std::move(suspects);
       mServices.onSuspects(mReportedSuspects);
     }
+    ReportTeamUsages();
   });
 }
 
@@ -123,6 +130,14 @@
   mServices.loop.Post([this, aAsOf] { mForwarder.ConfirmConfig(aAsOf); });
 }
 
+void
+TrafficPlane::UpdateAllowances(AllowanceUpdate aUpdate)
+{
+  mServices.loop.Post([this, update = std::move(aUpdate)] {
+    mForwarder.UpdateAllowances(update);
+  });
+}
+
 void
 TrafficPlane::SetBackend(std::optional<backends::BackendServer> aBackend,
                          std::function<void()> aDone)
@@ -195,11 +210,23 @@
   CloseAfterPause();
   mBodies.OnTick();
   mDispatcher.OnTick();
+  if (mForwarder.HasTeamSurge()) {
+    ReportTeamUsages();
+  }
   const Microseconds now = BootTime();
   mLongPauses.Tick(now);
   mShortPauses.Tick(now);
 }
 
+void
+TrafficPlane::ReportTeamUsages()
+{
+  if (auto usages = mForwarder.TakeTeamUsages();
+      mServices.onTeamUsages && !usages.empty()) {
+    mServices.onTeamUsages(std::move(usages));
+  }
+}
+
 void
 TrafficPlane::CloseAfterPause()
 {
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -35,6 +35,8 @@
     /** Receives the requests that may have crashed this node's backend server.
      */
     std::function<void(std::vector<CrashSuspect>)> onSuspects;
+    /** Receives the calls of teams at this node; may be empty. */
+    std::function<void(std::vector<TeamUsage>)> onTeamUsages;
     /** Runs after a pause of the process. */
     std::function<void()> onPause;
     /** Runs when this node's backend server says that it is leaving; may be
@@ -56,6 +58,9 @@
     std::uint32_t checkSlots = 0; ///< slots kept for calls of class check
     /** Time within which an accepted configuration is in force on this node. */
     Milliseconds maxConfigApplyTime{ 7000 };
+    /** See callers::CallForwarder::Identity. */
+    Milliseconds maxKeyAge{ 0 };
+    std::size_t allowanceSlots = 0;
     double linkBytesPerMs = 0; ///< rate of the VM's link; 0 if it is not known
     /** Factor by which the calls of any second may exceed the rate that a cold
      * backend server takes. */
@@ -81,6 +86,9 @@
    * newest one. Any thread. */
   void ConfirmConfig(Microseconds aAsOf);
 
+  /** Takes a coordinator's answer about the allowances of teams. Any thread. */
+  void UpdateAllowances(AllowanceUpdate aUpdate);
+
   /**
    * Sets this node's backend server, or none. Any thread.
    *
@@ -118,6 +126,7 @@
   void OnCall(nodes::LinkRequest aRequest,
               const nodes::LinkResponderPtr& aResponder);
   void OnTick();
+  void ReportTeamUsages();
   /** Returns what a view says of the warm-up of services' servers. */
   backends::WarmupTable WarmupOf(const routing::RoutingView& aView) const;
   /** Holds new calls after a pause, until the configuration is confirmed. */
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -156,6 +156,7 @@
   addIfSet("config",
            aCall.configVersion > 0 ? std::to_string(aCall.configVersion) : "");
   addIfSet("leaving", aCall.leavingServer);
+  addIfSet("team", aCall.team);
   AppendForwardedHeaders(request.headers, aCall.headers);
   request.body = aCall.body;
   return request;
@@ -198,6 +199,7 @@
   call.callClass = *callClass;
   call.idempotencyKey = header("key");
   call.leavingServer = header("leaving");
+  call.team = header("team");
   call.deadline = aNow + Microseconds(static_cast<std::int64_t>(*remaining));
   call.slowAfter = Milliseconds(static_cast<std::int64_t>(*slowAfter));
   call.targetDeadline = aNow + Milliseconds(*targetDelay);
--- a/src/nodes/GossipCodec.cpp
+++ b/src/nodes/GossipCodec.cpp
@@ -144,6 +144,21 @@
     ToWire(it, *out.add_moves());
   }
   WriteEvacuations(aMessage.evacuations, out);
+  for (const auto& it : aMessage.usages) {
+    wire::TeamUsage& usage = *out.add_usages();
+    usage.set_team(it.team);
+    usage.set_asked(it.asked);
+    usage.set_used(it.used);
+    usage.set_uncounted(it.uncounted);
+  }
+  for (const auto& it : aMessage.grants) {
+    wire::TeamGrant& grant = *out.add_grants();
+    grant.set_team(it.team);
+    grant.set_calls_per_second(static_cast<float>(it.callsPerSecond));
+  }
+  out.set_allowances_decided(aMessage.allowancesDecided);
+  out.set_incarnation(aMessage.incarnation);
+  out.set_allowance_slot(aMessage.allowanceSlot);
   return out.SerializeAsString();
 }
 
@@ -175,6 +190,16 @@
     message.moves.push_back(FromWire(it));
   }
   message.evacuations = ReadEvacuations(in);
+  for (const auto& it : in.usages()) {
+    message.usages.push_back(
+      { it.team(), it.asked(), it.used(), it.uncounted() });
+  }
+  for (const auto& it : in.grants()) {
+    message.grants.push_back({ it.team(), it.calls_per_second() });
+  }
+  message.allowancesDecided = in.allowances_decided();
+  message.incarnation = in.incarnation();
+  message.allowanceSlot = in.allowance_slot();
   return message;
 }
 
--- a/src/nodes/Membership.cpp
+++ b/src/nodes/Membership.cpp
@@ -121,6 +121,8 @@
     case GossipKind::kProgress:
     case GossipKind::kConfigQuery:
     case GossipKind::kConfigAnswer:
+    case GossipKind::kAllowanceReport:
+    case GossipKind::kAllowanceAnswer:
       break;
   }
   return out;
--- a/src/routing/RoutingView.cpp
+++ b/src/routing/RoutingView.cpp
@@ -7,12 +7,16 @@
 RoutingView::RoutingView(config::SnapshotPtr aConfig)
   : config(std::move(aConfig))
   , routes(std::make_shared<const RouteTable>(config))
+  , teams(std::make_shared<const TeamDirectory>(config))
 {
 }
 
-RoutingView::RoutingView(config::SnapshotPtr aConfig, RouteTablePtr aRoutes)
+RoutingView::RoutingView(config::SnapshotPtr aConfig,
+                         RouteTablePtr aRoutes,
+                         TeamDirectoryPtr aTeams)
   : config(std::move(aConfig))
   , routes(std::move(aRoutes))
+  , teams(std::move(aTeams))
 {
 }
 
--- a/tests/fakes/FakeFleet.cpp
+++ b/tests/fakes/FakeFleet.cpp
@@ -106,14 +106,13 @@
       }
     });
     FakeFleet::NodeState* peer = mFleet.FindByLinkAddress(aAddress);
-    if (!peer || peer->incarnation == 0 || peer->cutFromPeers ||
-        mSelf.cutFromPeers) {
+    if (!peer || peer->incarnation == 0 || !FakeFleet::CanReach(mSelf, *peer)) {
       return;
     }
     mFleet.Deliver(
       *peer, kLatency, [this, peer, aHandler, answered, aCallback] {
         const T result = aHandler(*peer->core);
-        if (peer->cutFromPeers || mSelf.cutFromPeers) {
+        if (!FakeFleet::CanReach(mSelf, *peer)) {
           return;
         }
         mFleet.Deliver(mSelf, kLatency, [answered, aCallback, result] {
@@ -168,6 +167,12 @@
   aNode.configVersion = 0;
   aNode.confirmedAt.reset();
   aNode.evidence.clear();
+  std::set<std::string> zones;
+  for (const auto& it : nodes) {
+    zones.insert(it.settings.zone);
+  }
+  aNode.settings.zones.assign(zones.begin(), zones.end());
+  aNode.allowances = std::make_unique<callers::TeamAllowances>(zones.size());
   aNode.scheduler = std::make_unique<FleetScheduler>(clock, aNode);
   aNode.store = std::make_unique<FakePlatform>(clock, shared, mRandom());
   aNode.store->SetFaultPlan([&aNode](bool) { return aNode.storeFault; });
@@ -194,6 +199,9 @@
       },
       [this, &aNode](Microseconds aAsOf) { OnConfirmed(aNode, aAsOf); },
       [](const config::CallerLimits&) {},
+      [&aNode](const AllowanceUpdate& aUpdate) {
+        aNode.allowances->OnUpdate(aUpdate);
+      },
       [](const std::optional<backends::BackendServer>&,
          const std::function<void()>& aDone) {
         if (aDone) {
@@ -257,10 +265,15 @@
       { "max-attempts", 2 }
     };
   }
-  const Json config{ { "version", "r" + std::to_string(aVersion) },
-                     { "routes", routes },
-                     { "services", { { "svc", Json::object() } } },
-                     { "limits", Json::object() } };
+  Json config{ { "version", "r" + std::to_string(aVersion) },
+               { "routes", routes },
+               { "services", { { "svc", Json::object() } } },
+               { "limits", Json::object() } };
+  for (const auto& [name, allowance] : teams) {
+    config["tenants"][name] = { { "api-keys", { "key-" + name } },
+                                { "rate-per-s", allowance.callsPerSecond },
+                                { "burst", allowance.burst } };
+  }
   store::Transaction transaction;
   transaction.writes.push_back({ "op/config", config.dump(), false });
   shared.table.Commit(transaction);
@@ -376,7 +389,7 @@
   NodeState* peer = FindByLinkAddress(AddressWithPort(aDatagram.to, kPort));
   const bool lost =
     std::uniform_real_distribution<double>(0, 1)(mRandom) < loss;
-  if (!peer || lost || aFrom.cutFromPeers || peer->cutFromPeers) {
+  if (!peer || lost || !CanReach(aFrom, *peer)) {
     return;
   }
   Deliver(*peer, kLatency, [peer, message = aDatagram.message] {
--- a/tests/fakes/FakeFleet.h
+++ b/tests/fakes/FakeFleet.h
@@ -3,6 +3,7 @@
 #include "FakeClock.h"
 #include "FakePlatform.h"
 #include "RowOrderStore.h"
+#include "knapweedpaddle/callers/TeamAllowances.h"
 #include "knapweedpaddle/node/FleetCore.h"
 
 #include <deque>
@@ -24,6 +25,7 @@
     std::string version = "v1"; ///< Version of the backend server on this node.
     std::uint64_t incarnation = 0; ///< 0 while the node does not run.
     bool cutFromPeers = false;
+    int partition = 0; ///< Only nodes of the same partition reach each other.
     PlatformFault storeFault = PlatformFault::kNone;
     std::uint64_t reportCount = 0; ///< Reports that the backend server sent.
     std::unique_ptr<runtime::Scheduler> scheduler;
@@ -36,6 +38,7 @@
     /** Boot time at which that version was confirmed to be the newest. */
     std::optional<Microseconds> confirmedAt;
     backends::EvidenceTable evidence;
+    std::unique_ptr<callers::TeamAllowances> allowances;
   };
 
   explicit FakeFleet(std::uint64_t aSeed);
@@ -80,6 +83,8 @@
   FakeClock clock;
   SharedPlatform shared;
   std::deque<NodeState> nodes;
+  /** Teams of the configurations that are written from now on. */
+  std::map<std::string, node::TeamAllowance> teams;
   double loss = 0;              ///< Share of datagrams that are lost.
   bool configRegressed = false; ///< A node went back to an older configuration.
   /** A node's configuration was confirmed as of a time at which the store held
@@ -97,6 +102,11 @@
   /** Runs a task on a node after a delay, unless the node has ended by then. */
   void Deliver(NodeState& aNode, Milliseconds aDelay, FakeClock::Task aTask);
   void Send(NodeState& aFrom, const nodes::Datagram& aDatagram);
+  static bool CanReach(const NodeState& aFrom, const NodeState& aTo)
+  {
+    return !aFrom.cutFromPeers && !aTo.cutFromPeers &&
+           aFrom.partition == aTo.partition;
+  }
 
   void OnConfirmed(NodeState& aNode, Microseconds aAsOf);
 
