Pass over zones whose nodes don't answer

Cause: a node in a zone that is cut off has most of its targets in other zones. More than half of all targets fail, so ejection gives up (panic threshold) and each call waits for up to four connections of 0.3 s that are never made.

Change: after three nodes of a zone failed in a row, without any other node of it answering, the zone is passed over while other zones have targets; one call each half second tries whether it is back. Calls that are given up no longer count as answered by their node.

--- a/include/knapweedpaddle/routing/LoadBalancer.h
+++ b/include/knapweedpaddle/routing/LoadBalancer.h
@@ -5,6 +5,7 @@
 #include "knapweedpaddle/routing/RoutingView.h"
 
 #include <random>
+#include <set>
 #include <unordered_map>
 
 namespace knapweedpaddle::routing {
@@ -29,6 +30,11 @@
   /** Half-life of the load that a node reported for other nodes' calls. */
   Milliseconds loadHalfLife{ 400 };
   std::size_t maxCandidates = 8; ///< nodes compared for one call
+  /** Nodes of a zone that fail one after the other, without any other node of
+   * the zone answering, after which the zone counts as unreachable. */
+  std::size_t failuresBeforeZoneIsUnreachable = 3;
+  /** Interval at which a call tries whether such a zone is back. */
+  Milliseconds zoneProbeInterval{ 500 };
 };
 
 /** The call that a node is chosen for. */
@@ -47,7 +53,10 @@
  * The estimate uses the load and service times that nodes report with their
  * answers, and the calls sent to them since. Nodes in other zones get a
  * penalty. Nodes with consecutive failures are ejected for a while, unless the
- * share of ejected nodes exceeds LoadBalancerOptions::panicThreshold.
+ * share of ejected nodes exceeds LoadBalancerOptions::panicThreshold. The nodes
+ * of a zone that can't be reached are passed over together: otherwise each call
+ * of a zone that is cut off would wait for several of them in vain, as most of
+ * the nodes are in other zones.
  *
  * Thread safety: the traffic thread only.
  */
@@ -71,6 +80,10 @@
    */
   void Finish(nodes::NodeId aNode, bool aReached, Timestamp aNow);
 
+  /** Records that a call to a node was given up, which says nothing about the
+   * node. */
+  void Abandon(nodes::NodeId aNode);
+
   /** Stores the load that a node reported with its answer on a route. */
   void ReportLoad(nodes::NodeId aNode,
                   const std::string& aRoute,
@@ -84,6 +97,9 @@
   /** True if failures keep a node from being chosen at present. */
   bool IsEjected(nodes::NodeId aNode, Timestamp aNow) const;
 
+  /** True if the nodes of a zone don't answer at present. */
+  bool IsUnreachable(const std::string& aZone) const;
+
   /** Returns the cost of sending a call to a target: the expected milliseconds
    * until it is done, weighted by failures, plus the zone penalty. */
   double Cost(const Target& aTarget,
@@ -93,6 +109,7 @@
 private:
   struct NodeState
   {
+    std::string zone;              ///< set when the node is chosen
     std::uint32_t outstanding = 0; ///< calls sent and not finished
     backends::ServerLoad load;     ///< latest report
     std::unordered_map<std::string, double> routeMs; ///< keyed by route
@@ -103,8 +120,18 @@
     Timestamp ejectedUntil;
   };
 
+  struct ZoneState
+  {
+    /** Nodes that failed since a node of the zone last answered. */
+    std::set<std::uint64_t> failedNodes;
+    Timestamp nextProbeAt{}; ///< while the zone is unreachable
+  };
+
   using Candidates = std::vector<const Target*>;
 
+  /** Removes the targets of unreachable zones, unless no others are left. */
+  void RemoveUnreachable(Candidates& aCandidates, Timestamp aNow) const;
+
   bool IsUsable(const Target& aTarget, Timestamp aNow) const;
   Candidates WithoutEjected(const Candidates& aAll, Timestamp aNow) const;
   void Sample(Candidates& aCandidates, const std::string& aZone);
@@ -118,6 +145,7 @@
   LoadBalancerOptions mOptions;
   std::mt19937_64 mRandom;
   std::unordered_map<std::uint64_t, NodeState> mStates; ///< keyed by node
+  std::unordered_map<std::string, ZoneState> mZones;    ///< keyed by name
   /** Average service time over all nodes, by route. */
   std::unordered_map<std::string, double> mRouteMs;
 };
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -853,7 +853,7 @@
     mServices.loop.Cancel(std::exchange(aCall->hedgeTimer, 0));
     mServices.loop.Cancel(std::exchange(aCall->deadlineTimer, 0));
     for (const auto& it : std::exchange(aCall->active, {})) {
-      mBalancer.Finish(it.node, true, Now());
+      mBalancer.Abandon(it.node);
       if (it.isLocal) {
         mServices.dispatcher.Cancel(it.request);
       } else {
--- a/src/routing/LoadBalancer.cpp
+++ b/src/routing/LoadBalancer.cpp
@@ -46,6 +46,7 @@
       all.push_back(&target);
     }
   }
+  RemoveUnreachable(all, aNow);
   Candidates usable = WithoutEjected(all, aNow);
   Sample(usable, aCriteria.zone);
   const Target* best = nullptr;
@@ -58,9 +59,43 @@
       bestCost = cost;
     }
   }
+  if (best) {
+    mStates[static_cast<std::uint64_t>(best->node)].zone = best->zone;
+    if (IsUnreachable(best->zone)) {
+      mZones.at(best->zone).nextProbeAt = aNow + mOptions.zoneProbeInterval;
+    }
+  }
   return best;
 }
 
+void
+LoadBalancer::RemoveUnreachable(Candidates& aCandidates, Timestamp aNow) const
+{
+  const auto isUsed = [&](const Target* aTarget) {
+    return !IsUnreachable(aTarget->zone) ||
+           aNow >= mZones.at(aTarget->zone).nextProbeAt;
+  };
+  if (std::ranges::any_of(aCandidates, isUsed)) {
+    std::erase_if(aCandidates,
+                  [&](const Target* aTarget) { return !isUsed(aTarget); });
+  }
+}
+
+bool
+LoadBalancer::IsUnreachable(const std::string& aZone) const
+{
+  const auto it = mZones.find(aZone);
+  return it != mZones.end() && it->second.failedNodes.size() >=
+                                 mOptions.failuresBeforeZoneIsUnreachable;
+}
+
+void
+LoadBalancer::Abandon(nodes::NodeId aNode)
+{
+  NodeState& state = mStates[static_cast<std::uint64_t>(aNode)];
+  state.outstanding -= state.outstanding > 0 ? 1 : 0;
+}
+
 void
 LoadBalancer::Start(nodes::NodeId aNode)
 {
@@ -70,15 +105,21 @@
 void
 LoadBalancer::Finish(nodes::NodeId aNode, bool aReached, Timestamp aNow)
 {
+  Abandon(aNode);
   NodeState& state = mStates[static_cast<std::uint64_t>(aNode)];
-  if (state.outstanding > 0) {
-    --state.outstanding;
-  }
+  ZoneState& zone = mZones[state.zone];
   if (aReached) {
     state.consecutiveFailures = 0;
     state.consecutiveEjections = 0;
+    zone.failedNodes.clear();
     return;
   }
+  const bool isNew =
+    zone.failedNodes.insert(static_cast<std::uint64_t>(aNode)).second;
+  if (isNew &&
+      zone.failedNodes.size() == mOptions.failuresBeforeZoneIsUnreachable) {
+    zone.nextProbeAt = aNow + mOptions.zoneProbeInterval;
+  }
   if (++state.consecutiveFailures < mOptions.failuresBeforeEjection) {
     return;
   }
--- a/tests/routing/RoutingTest.cpp
+++ b/tests/routing/RoutingTest.cpp
@@ -294,3 +294,68 @@
   balancer.ReportLoad(nodes::NodeId{ 1 }, "r", limited, kNow);
   CHECK(LocalPicks(balancer, view, 50) == 0);
 }
+
+// Load: calls of a node whose zone is cut off from the others, where two thirds
+// of the servers are. Each call that is sent there waits for a connection that
+// is never made.
+TEST_CASE("calls pass over a zone whose nodes don't answer, and find it again",
+          "[routing][zones]")
+{
+  LoadBalancer balancer(LoadBalancerOptions{}, 1);
+  RoutingView view = ViewOf(4, 8);
+  bool isCut = true;
+  int lost = 0;
+  Timestamp now = kNow;
+  const auto call = [&] {
+    now += Milliseconds(10);
+    // The own zone's servers are full, so that the others seem better.
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+      backends::ServerLoad load = FullLoad();
+      load.queued = 40;
+      balancer.ReportLoad(nodes::NodeId{ n }, "r", load, now);
+    }
+    const Target* it =
+      balancer.Pick(view, { "svc", "v1", "here", {}, "r", {} }, now);
+    const bool reached = it->zone == "here" || !isCut;
+    lost += reached ? 0 : 1;
+    balancer.Start(it->node);
+    balancer.Finish(it->node, reached, now);
+    return it->zone == "there";
+  };
+  for (int n = 0; n < 500; ++n) {
+    call();
+  }
+  CHECK(balancer.IsUnreachable("there"));
+  // A few calls find the cut, and one each half second whether it has ended.
+  CHECK(lost <= 3 + 10);
+  isCut = false;
+  int there = 0;
+  for (int n = 0; n < 200; ++n) {
+    there += call() ? 1 : 0;
+  }
+  CHECK_FALSE(balancer.IsUnreachable("there"));
+  CHECK(there > 100);
+}
+
+// Guards against a zone that is passed over for a few bad nodes.
+TEST_CASE("a zone in which other nodes answer is not passed over",
+          "[routing][zones]")
+{
+  LoadBalancer balancer(LoadBalancerOptions{}, 1);
+  const RoutingView view = ViewOf(0, 8);
+  for (int n = 0; n < 400; ++n) {
+    const Target* it = balancer.Pick(
+      view, { "svc", "v1", "here", {}, "r", {} }, kNow + Milliseconds(10) * n);
+    balancer.Start(it->node);
+    balancer.Finish(it->node,
+                    static_cast<std::uint64_t>(it->node) > 3,
+                    kNow + Milliseconds(10) * n);
+    CHECK_FALSE(balancer.IsUnreachable("there"));
+  }
+  // The only zone left is used even if it seems unreachable.
+  for (std::uint64_t n = 1; n <= 8; ++n) {
+    balancer.Finish(nodes::NodeId{ n }, false, kNow + Milliseconds(4000));
+  }
+  CHECK(balancer.Pick(
+    view, { "svc", "v1", "here", {}, "r", {} }, kNow + Milliseconds(4000)));
+}
