Bound the bytes and connections that callers can make a node hold

Cause: a node kept each body whole for each caller, in up to four copies, and answered pipelined requests whose answers nobody read.

Change: bodies are shared, not copied (SharedBytes); all bytes held are counted (HeldBytes) against half of the VM's memory; beyond that a server ends the request that stands still or came last (LoadShedding), the owner refuses bodies, and requests are not parsed while 64 KB of answers are unread. Callers get half of the descriptors.

An answered exchange that had a task for the client's disconnect also kept itself alive for good (ExchangeTest, failed before).

--- a/include/knapweedpaddle/backends/BackendDispatcher.h
+++ b/include/knapweedpaddle/backends/BackendDispatcher.h
@@ -6,6 +6,7 @@
 #include "knapweedpaddle/backends/SlotQueue.h"
 #include "knapweedpaddle/callers/Call.h"
 #include "knapweedpaddle/common/CrashSuspect.h"
+#include "knapweedpaddle/common/SharedBytes.h"
 #include "knapweedpaddle/common/StopWindow.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
 #include "knapweedpaddle/telemetry/Metrics.h"
@@ -39,7 +40,7 @@
   std::string method;
   std::string path;
   std::vector<callers::HttpHeader> headers;
-  std::string body;
+  SharedBytes body;
   /** Start of the owner's server that the ingress node knows to be leaving, as
    * BackendServer::StartName() returns it; empty if it knows of none. */
   std::string leavingServer{};
--- a/include/knapweedpaddle/callers/Call.h
+++ b/include/knapweedpaddle/callers/Call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "knapweedpaddle/common/EnumNames.h"
+#include "knapweedpaddle/common/SharedBytes.h"
 #include "knapweedpaddle/common/Time.h"
 #include "knapweedpaddle/runtime/HttpClient.h"
 
@@ -22,7 +23,7 @@
   std::string path; ///< path including the query
   /** Headers that are forwarded to the backend server. */
   std::vector<HttpHeader> headers;
-  std::string body;
+  SharedBytes body;
   std::string idempotencyKey;
   std::string traceparent;
   std::optional<Milliseconds> timeout; ///< timeout requested by the caller
@@ -66,7 +67,7 @@
   CallOutcome outcome = CallOutcome::kNotRun;
   int status = 0;
   std::vector<HttpHeader> headers;
-  std::string body;
+  SharedBytes body;
   std::string reasonPhrase; ///< reason phrase of the answer's status line
   std::string reason; ///< why there is no answer, with kNotRun and kUnknown
   std::string callId;
--- a/include/knapweedpaddle/callers/CallerServer.h
+++ b/include/knapweedpaddle/callers/CallerServer.h
@@ -56,6 +56,16 @@
 
   void SetLimits(const http::ServerLimits& aLimits);
 
+  /** Sets the most connections of callers that are open at a time; 0: no limit.
+   */
+  void SetMaxConnections(std::size_t aCount)
+  {
+    mServer.SetMaxConnections(aCount);
+  }
+
+  /** Returns how many connections were ended to keep within limits. */
+  std::uint64_t ConnectionsShed() const { return mServer.ConnectionsShed(); }
+
   /** Sets the name of the service that sends its calls to this node. */
   void SetCallerService(std::string aService);
 
--- a/include/knapweedpaddle/http/Message.h
+++ b/include/knapweedpaddle/http/Message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "knapweedpaddle/common/SharedBytes.h"
 #include "knapweedpaddle/runtime/HttpClient.h"
 
 #include <string>
@@ -18,7 +19,7 @@
   std::string method;
   std::string target;          ///< as received, not decoded
   std::vector<Header> headers; ///< in order, duplicates included
-  std::string body;            ///< without chunk framing
+  SharedBytes body;            ///< without chunk framing
   bool keepAlive = true;
 };
 
@@ -38,7 +39,7 @@
   int status = 0;
   std::string reason;          ///< reason phrase of the status line
   std::vector<Header> headers; ///< in order, duplicates included
-  std::string body;            ///< without chunk framing
+  SharedBytes body;            ///< without chunk framing
   bool keepAlive = true;
   /** Set by http::Client if ClientOptions::correlationHeader is. */
   Attribution attribution = Attribution::kById;
@@ -64,18 +65,17 @@
 std::vector<Header>
 EndToEndHeaders(const std::vector<Header>& aHeaders);
 
-/** Serializes a request; adds Content-Length. */
+/** Serializes all of a request but its body; adds Content-Length. */
 std::string
-Serialize(const Request& aRequest);
+SerializeHead(const Request& aRequest);
 
 /**
- * Serializes a response; adds Content-Length.
+ * Serializes all of a response but its body; adds Content-Length.
  *
- * @param aClose        adds "Connection: close".
- * @param aHeadRequest  the response answers a HEAD request: omits the body.
+ * @param aClose  adds "Connection: close".
  */
 std::string
-Serialize(const Response& aResponse, bool aClose, bool aHeadRequest);
+SerializeHead(const Response& aResponse, bool aClose);
 
 /** Returns the standard reason phrase of a status code. */
 std::string
--- a/include/knapweedpaddle/http/MessageParser.h
+++ b/include/knapweedpaddle/http/MessageParser.h
@@ -75,9 +75,10 @@
 
   State CurrentState() const;
   ParseError Error() const;
-  bool Started() const;         ///< true once a byte of the message arrived
-  bool HeadersComplete() const; ///< true once all headers have been parsed
-  bool ExpectsContinue() const; ///< true for "Expect: 100-continue"
+  bool Started() const;          ///< true once a byte of the message arrived
+  bool HeadersComplete() const;  ///< true once all headers have been parsed
+  std::size_t BodyBytes() const; ///< bytes of the body received so far
+  bool ExpectsContinue() const;  ///< true for "Expect: 100-continue"
 
   /** @pre CurrentState() is kComplete. */
   Request TakeRequest();
--- a/include/knapweedpaddle/http/Server.h
+++ b/include/knapweedpaddle/http/Server.h
@@ -62,6 +62,13 @@
   /** Sets the limits. Open connections adopt them after their next request. */
   void SetLimits(const ServerLimits& aLimits);
 
+  /** Sets the most connections that are open at a time; 0: no limit. Beyond it,
+   * the connection that has stood still for longest is closed. */
+  void SetMaxConnections(std::size_t aCount);
+
+  /** Returns how many connections were ended to keep within limits. */
+  std::uint64_t ConnectionsShed() const;
+
   /** Closes each connection after its next response. */
   void Drain();
 
--- a/include/knapweedpaddle/nodes/Link.h
+++ b/include/knapweedpaddle/nodes/Link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "knapweedpaddle/common/Reason.h"
+#include "knapweedpaddle/common/SharedBytes.h"
 #include "knapweedpaddle/common/Time.h"
 
 #include <cstdint>
@@ -46,7 +47,7 @@
 {
   std::string path;
   std::vector<LinkHeader> headers;
-  std::string body;
+  SharedBytes body;
   Milliseconds timeout{ 1000 };
   /** Keeps waiting for the response until the timeout even if the connection
    * stops answering pings, because the request must not be sent again. */
@@ -63,11 +64,11 @@
 {
   int status = 0;
   std::vector<LinkHeader> headers;
-  std::string body;
+  SharedBytes body;
 };
 
 /** Maximum size of a request or response body. */
-inline constexpr std::size_t kMaxLinkBodyBytes = 16UL * 1024 * 1024;
+inline constexpr std::size_t kMaxLinkBodyBytes = 64UL * 1024 * 1024;
 
 /** Size up to which a request's body is sent without waiting until the server
  * accepts it. */
--- a/include/knapweedpaddle/settings/FleetSettings.h
+++ b/include/knapweedpaddle/settings/FleetSettings.h
@@ -33,6 +33,10 @@
   Milliseconds configApplyTime{ 2000 };
   /** Rate of the VM's network link, in Mbit/s; 0 if it is not known. */
   double linkMbps = 0;
+  /** Memory and descriptors of this process, beyond which the platform ends it;
+   * 0 if they are not known. */
+  double memoryMb = 0;
+  std::size_t maxDescriptors = 0;
   /** Retries allowed per call, over all nodes together. */
   double retryBudgetRatio = 0.2;
   /** Retries allowed per budget window beyond that ratio, over all nodes
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "ClientConnection.h"
 
+#include "SharedWrite.h"
+
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -123,11 +125,10 @@
   if (mConnected) {
     mLoop.Cancel(std::exchange(mTimer, 0));
   }
-  std::string bytes = Serialize(aRequest);
+  mUnsentHead = SerializeHead(aRequest);
+  mUnsentBody = aRequest.body;
   if (mConnected) {
-    bufferevent_write(mBuffer, bytes.data(), bytes.size());
-  } else {
-    mUnsentRequest = std::move(bytes);
+    WriteUnsent();
   }
 }
 
@@ -152,8 +153,15 @@
 {
   mConnected = true;
   mLoop.Cancel(std::exchange(mTimer, 0));
-  bufferevent_write(mBuffer, mUnsentRequest.data(), mUnsentRequest.size());
-  mUnsentRequest.clear();
+  WriteUnsent();
+}
+
+void
+ClientConnection::WriteUnsent()
+{
+  const std::string head = std::exchange(mUnsentHead, {});
+  bufferevent_write(mBuffer, head.data(), head.size());
+  WriteShared(mBuffer, std::exchange(mUnsentBody, {}));
 }
 
 void
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -57,6 +57,7 @@
   friend struct ClientConnectionCallbacks;
 
   void OnConnected();
+  void WriteUnsent();
   void OnReadable();
   void OnDisconnected(bool aCleanEnd);
   void OnResponse();
@@ -72,7 +73,8 @@
   Handler mHandler;
   bufferevent* mBuffer = nullptr;
   MessageParser mParser;
-  std::string mUnsentRequest; ///< serialized request, sent once connected
+  std::string mUnsentHead; ///< of a request that is sent once connected
+  SharedBytes mUnsentBody;
   std::string mCorrelationId;
   runtime::EventLoop::TimerId mTimer = 0;
   Timestamp mIdleSince;
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -118,18 +118,18 @@
 }
 
 std::string
-Serialize(const Request& aRequest)
+SerializeHead(const Request& aRequest)
 {
   std::string out = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
   AppendHeaders(out, aRequest.headers);
   if (NeedsContentLength(aRequest)) {
     out += "Content-Length: " + std::to_string(aRequest.body.size()) + "\r\n";
   }
-  return out.append("\r\n").append(aRequest.body);
+  return out.append("\r\n");
 }
 
 std::string
-Serialize(const Response& aResponse, bool aClose, bool aHeadRequest)
+SerializeHead(const Response& aResponse, bool aClose)
 {
   const std::string& phrase = aResponse.reason;
   std::string out = "HTTP/1.1 " + std::to_string(aResponse.status) + " " +
@@ -142,8 +142,7 @@
   if (aClose) {
     out += "Connection: close\r\n";
   }
-  out += "\r\n";
-  return aHeadRequest ? out : out.append(aResponse.body);
+  return out.append("\r\n");
 }
 
 std::string
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -53,7 +53,7 @@
     target.clear();
     reason.clear();
     headers.clear();
-    body.clear();
+    std::string().swap(body); // an assignment would keep its memory
   }
 
   std::size_t Feed(const char* aData, std::size_t aSize)
@@ -222,6 +222,10 @@
       self.Fail(ParseError::kBodyTooLarge);
       return -1;
     }
+    if (hasLength && !self.mHeadRequest) {
+      // Memory that is not written to is not used yet.
+      self.body.reserve(static_cast<std::size_t>(aParser->content_length));
+    }
     return self.mHeadRequest ? kNoBodyFollows : 0;
   }
 
@@ -301,6 +305,12 @@
   return mImpl->headersComplete;
 }
 
+std::size_t
+MessageParser::BodyBytes() const
+{
+  return mImpl->body.size();
+}
+
 bool
 MessageParser::ExpectsContinue() const
 {
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
+#include <unistd.h>
 #include <unordered_map>
 
 namespace knapweedpaddle::http {
@@ -21,7 +22,9 @@
 {
 public:
   Impl(runtime::EventLoop& aLoop, Handler aHandler)
-    : mContext{ aLoop, std::move(aHandler), {}, false, 0 }
+    : mContext{ aLoop, std::move(aHandler),
+                {},    [this] { RelieveMemory(); },
+                false, 0 }
   {
   }
 
@@ -52,6 +55,10 @@
 
   ServerContext& Context() { return mContext; }
 
+  void SetMaxConnections(std::size_t aCount) { mMaxConnections = aCount; }
+
+  std::uint64_t ConnectionsShed() const { return mConnectionsShed; }
+
   bool HasUnsentBytes() const
   {
     return std::ranges::any_of(mConnections, [](const auto& aItem) {
@@ -60,6 +67,41 @@
   }
 
 private:
+  /** Ends connections until this process holds few enough bytes, or none is
+   * left to end. */
+  void RelieveMemory()
+  {
+    while (!HeldBytes::HasRoomFor(0) &&
+           ShedOne(
+             [](const auto& aCandidates) {
+               return ChooseForMemory(aCandidates,
+                                      std::chrono::steady_clock::now());
+             },
+             false)) {
+    }
+  }
+
+  /** Ends a connection. @return false if there is none that may be ended. */
+  template<typename Choice>
+  bool ShedOne(Choice aChoose, bool aCloseAtOnce)
+  {
+    std::vector<SheddingCandidate> candidates;
+    std::vector<std::shared_ptr<ServerConnection>> connections;
+    for (const auto& [raw, connection] : mConnections) {
+      if (const auto candidate = connection->Candidate()) {
+        candidates.push_back(*candidate);
+        connections.push_back(connection);
+      }
+    }
+    const auto chosen = aChoose(candidates);
+    if (!chosen) {
+      return false;
+    }
+    ++mConnectionsShed;
+    connections[*chosen]->Shed(aCloseAtOnce);
+    return true;
+  }
+
   static void OnAccept(evconnlistener*,
                        evutil_socket_t aSocket,
                        sockaddr*,
@@ -67,6 +109,16 @@
                        void* aSelf)
   {
     auto* self = static_cast<Impl*>(aSelf);
+    if (self->mMaxConnections > 0 &&
+        self->mConnections.size() >= self->mMaxConnections &&
+        !self->ShedOne(
+          [](const auto& aCandidates) {
+            return ChooseForDescriptors(aCandidates);
+          },
+          true)) {
+      close(aSocket); // every connection waits for a response
+      return;
+    }
     const int on = 1;
     setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     bufferevent* buffer = bufferevent_socket_new(
@@ -80,6 +132,8 @@
   }
 
   ServerContext mContext;
+  std::size_t mMaxConnections = 0; ///< 0: no limit
+  std::uint64_t mConnectionsShed = 0;
   evconnlistener* mListener = nullptr;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
     mConnections;
@@ -104,6 +158,18 @@
   mImpl->Context().limits = aLimits;
 }
 
+void
+Server::SetMaxConnections(std::size_t aCount)
+{
+  mImpl->SetMaxConnections(aCount);
+}
+
+std::uint64_t
+Server::ConnectionsShed() const
+{
+  return mImpl->ConnectionsShed();
+}
+
 void
 Server::Drain()
 {
--- a/src/http/ServerConnection.cpp
+++ b/src/http/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "ServerConnection.h"
 
+#include "SharedWrite.h"
+
 #include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -15,6 +17,12 @@
 constexpr Milliseconds kLingerTime{ 1000 };
 /** Limit of pipelined input that waits for the current exchange. */
 constexpr std::size_t kMaxUnparsedBytes = 256UL * 1024;
+/** Further requests are not parsed while more bytes of responses are unsent, as
+ * the client does not read them. */
+constexpr std::size_t kMaxUnsentBytes = 64UL * 1024;
+constexpr int kUnavailable = 503;
+/** When a client that was refused for want of memory may come back. */
+constexpr const char* kRetryAfterSeconds = "1";
 
 constexpr int kRequestTimeout = 408;
 
@@ -63,6 +71,8 @@
 
   void Respond(Response aResponse) override
   {
+    // The task may hold this exchange, which must not keep itself alive.
+    mOnDisconnect = nullptr;
     if (const auto connection = mConnection.lock(); connection && !mResponded) {
       mResponded = true;
       connection->SendResponse(aResponse);
@@ -137,9 +147,62 @@
                     &ServerConnectionCallbacks::OnEvent,
                     this);
   bufferevent_enable(mBuffer, EV_READ | EV_WRITE);
+  mProgressAt = std::chrono::steady_clock::now();
   RestartTimer(mContext.limits.idleTimeout);
 }
 
+bool
+ServerConnection::IsOutputBlocked() const
+{
+  return evbuffer_get_length(bufferevent_get_output(mBuffer)) > kMaxUnsentBytes;
+}
+
+void
+ServerConnection::NoteProgress()
+{
+  mProgressAt = std::chrono::steady_clock::now();
+  mHeld.Set(mParser.BodyBytes() +
+            evbuffer_get_length(bufferevent_get_input(mBuffer)) +
+            evbuffer_get_length(bufferevent_get_output(mBuffer)));
+  if (!HeldBytes::HasRoomFor(0)) {
+    mContext.relieveMemory();
+  }
+}
+
+std::optional<SheddingCandidate>
+ServerConnection::Candidate() const
+{
+  if (mClosed || mExchange) {
+    return std::nullopt;
+  }
+  return SheddingCandidate{ mHeld.Get(), mRequestBegan, mProgressAt };
+}
+
+void
+ServerConnection::Shed(bool aCloseAtOnce)
+{
+  const bool isReceiving = mParser.Started() && !mLingering;
+  if (aCloseAtOnce || !isReceiving || IsOutputBlocked()) {
+    Close();
+    return;
+  }
+  mParser.Restart(Limits());
+  Response response;
+  response.status = kUnavailable;
+  response.headers = { { "Retry-After", kRetryAfterSeconds } };
+  WriteFinal(response);
+  mHeld.Set(0);
+}
+
+void
+ServerConnection::WriteFinal(const Response& aResponse)
+{
+  const std::string head = SerializeHead(aResponse, true);
+  bufferevent_write(mBuffer, head.data(), head.size());
+  WriteShared(mBuffer, aResponse.body);
+  StartLingeringClose();
+}
+
 ParseLimits
 ServerConnection::Limits() const
 {
@@ -160,16 +223,24 @@
     if (mDiscardsInput) {
       evbuffer_drain(input, evbuffer_get_length(input));
     }
+    NoteProgress();
+    return;
+  }
+  if (IsOutputBlocked()) {
+    bufferevent_disable(mBuffer, EV_READ);
     return;
   }
   Parse();
+  if (!mClosed && !mLingering) {
+    NoteProgress();
+  }
 }
 
 void
 ServerConnection::Parse()
 {
   evbuffer* input = bufferevent_get_input(mBuffer);
-  while (!mClosed && !mExchange && !mLingering) {
+  while (!mClosed && !mExchange && !mLingering && !IsOutputBlocked()) {
     const std::size_t size = evbuffer_get_length(input);
     if (size == 0) {
       return;
@@ -188,6 +259,7 @@
         return;
       case MessageParser::State::kReading:
         if (!wasStarted) {
+          mRequestBegan = std::chrono::steady_clock::now();
           RestartTimer(mContext.limits.headerTimeout);
         }
         if (mParser.ExpectsContinue() && !mContinueSent) {
@@ -227,9 +299,9 @@
 {
   Response response;
   response.status = StatusFor(mParser.Error());
-  const std::string bytes = Serialize(response, true, false);
-  bufferevent_write(mBuffer, bytes.data(), bytes.size());
-  StartLingeringClose();
+  mParser.Restart(Limits());
+  WriteFinal(response);
+  mHeld.Set(0);
 }
 
 void
@@ -241,8 +313,11 @@
   mExchange.reset();
   --mContext.inFlight;
   const bool close = !mKeepAlive || mContext.draining || mDiscardsInput;
-  const std::string bytes = Serialize(aResponse, close, mHeadRequest);
-  bufferevent_write(mBuffer, bytes.data(), bytes.size());
+  const std::string head = SerializeHead(aResponse, close);
+  bufferevent_write(mBuffer, head.data(), head.size());
+  if (!mHeadRequest) {
+    WriteShared(mBuffer, aResponse.body);
+  }
   if (close) {
     StartLingeringClose();
     return;
@@ -282,8 +357,20 @@
 void
 ServerConnection::OnFlushed()
 {
-  if (mLingering && !mClosed) {
+  if (mClosed) {
+    return;
+  }
+  if (mLingering) {
     shutdown(bufferevent_getfd(mBuffer), SHUT_WR);
+    return;
+  }
+  // Goes on with requests that waited until the client read the responses.
+  bufferevent_enable(mBuffer, EV_READ);
+  if (!mExchange) {
+    Parse();
+  }
+  if (!mClosed && !mLingering) {
+    NoteProgress();
   }
 }
 
@@ -320,9 +407,9 @@
   }
   Response response;
   response.status = kRequestTimeout;
-  const std::string bytes = Serialize(response, true, false);
-  bufferevent_write(mBuffer, bytes.data(), bytes.size());
-  StartLingeringClose();
+  mParser.Restart(Limits());
+  WriteFinal(response);
+  mHeld.Set(0);
 }
 
 void
@@ -330,6 +417,7 @@
 {
   if (!mClosed) {
     mClosed = true;
+    mHeld.Set(0);
     bufferevent_disable(mBuffer, EV_READ | EV_WRITE);
     mOnClosed(this);
   }
--- a/src/http/ServerConnection.h
+++ b/src/http/ServerConnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "knapweedpaddle/common/HeldBytes.h"
+#include "knapweedpaddle/http/LoadShedding.h"
 #include "knapweedpaddle/http/MessageParser.h"
 #include "knapweedpaddle/http/Server.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
@@ -14,6 +16,8 @@
   runtime::EventLoop& loop;
   Server::Handler handler;
   ServerLimits limits;
+  /** Ends other connections while this process holds too many bytes. */
+  std::function<void()> relieveMemory;
   bool draining = false;
   std::size_t inFlight = 0; ///< requests that have no response yet
 };
@@ -45,11 +49,25 @@
   /** Returns true while a response waits to be sent. */
   bool HasUnsentBytes() const;
 
+  /** Returns whether the connection may be ended to keep within limits, and
+   * what it holds; nothing while the handler has a request. */
+  std::optional<SheddingCandidate> Candidate() const;
+
+  /** Ends the connection to keep within limits. A request that has not arrived
+   * whole is refused, unless the connection is closed at once. */
+  void Shed(bool aCloseAtOnce);
+
 private:
   class PendingExchange;
   friend struct ServerConnectionCallbacks;
 
   ParseLimits Limits() const;
+  /** Writes a response without a request to the handler, and closes. */
+  void WriteFinal(const Response& aResponse);
+  /** Returns true while the client does not read the responses so far. */
+  bool IsOutputBlocked() const;
+  /** Records the bytes held, and that some have moved. */
+  void NoteProgress();
   void OnReadable();
   void OnDisconnected();
   void OnFlushed();
@@ -73,6 +91,9 @@
   /** Too much input was pipelined; it is discarded, and the connection is
    * closed after the current response. */
   bool mDiscardsInput = false;
+  HeldBytesShare mHeld;
+  Timestamp mRequestBegan{};
+  Timestamp mProgressAt{};
   bool mLingering = false; ///< discards all input until the client closes
   bool mClosed = false;
 };
--- a/src/node/BodyAdmission.cpp
+++ b/src/node/BodyAdmission.cpp
@@ -1,5 +1,6 @@
 #include "BodyAdmission.h"
 
+#include "knapweedpaddle/common/HeldBytes.h"
 #include "knapweedpaddle/http/Message.h"
 #include "knapweedpaddle/telemetry/Log.h"
 
@@ -13,6 +14,7 @@
 
 constexpr double kLogLinesPerSecond = 20;
 constexpr double kLogBurst = 100;
+constexpr const char* kMemoryShort = "memory_short";
 
 } // namespace
 
@@ -47,9 +49,14 @@
     Refuse(*aResponder, *head, reason);
     return;
   }
+  const auto bytes = static_cast<std::size_t>(head->bodySize);
+  if (!HeldBytes::HasRoomFor(mExpectedBytes + bytes)) {
+    Refuse(*aResponder, *head, kMemoryShort);
+    return;
+  }
   const Timestamp now = std::chrono::steady_clock::now();
   const backends::Transfer transfer{ ++mLastId,
-                                     static_cast<std::size_t>(head->bodySize),
+                                     bytes,
                                      call.deadline,
                                      call.targetDeadline,
                                      static_cast<double>(
@@ -61,6 +68,7 @@
     return;
   }
   mTransfers[transfer.id] = { aResponder, *head };
+  mExpectedBytes += bytes;
   mIds[aResponder.get()] = transfer.id;
   aResponder->OnCancel([this, raw = aResponder.get()] { OnEnded(raw); });
   GrantTransfers();
@@ -74,6 +82,8 @@
     return;
   }
   mGate.Remove(it->second);
+  mExpectedBytes -=
+    static_cast<std::size_t>(mTransfers.at(it->second).head.bodySize);
   mTransfers.erase(it->second);
   mIds.erase(it);
   GrantTransfers();
@@ -85,6 +95,7 @@
   for (const auto id : mGate.TakeExpired(std::chrono::steady_clock::now())) {
     const Waiting waiting = std::move(mTransfers.at(id));
     mTransfers.erase(id);
+    mExpectedBytes -= static_cast<std::size_t>(waiting.head.bodySize);
     if (const auto responder = waiting.responder.lock()) {
       mIds.erase(responder.get());
       Refuse(*responder,
--- a/src/node/BodyAdmission.h
+++ b/src/node/BodyAdmission.h
@@ -58,6 +58,7 @@
   backends::TransferGate mGate;
   telemetry::LogRateLimiter mLogLimiter;
   std::uint64_t mLastId = 0;
+  std::size_t mExpectedBytes = 0; ///< of the bodies that have not arrived whole
   std::unordered_map<std::uint64_t, Waiting> mTransfers;
   std::unordered_map<const nodes::LinkResponder*, std::uint64_t> mIds;
 };
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -5,6 +5,7 @@
 #include "SignalWatch.h"
 #include "TrafficPlane.h"
 #include "UnavailableClaims.h"
+#include "knapweedpaddle/common/HeldBytes.h"
 #include "knapweedpaddle/node/FleetCore.h"
 #include "knapweedpaddle/nodes/GossipSocket.h"
 #include "knapweedpaddle/telemetry/Log.h"
@@ -31,6 +32,15 @@
 constexpr Milliseconds kLinkPingInterval{ 500 };
 constexpr Milliseconds kLinkPingTimeout{ 700 };
 constexpr double kBytesPerMsPerMbps = 125;
+/** Descriptors that the platform keeps for files. Half of the others are for
+ * callers, the rest for links, the backend server and the store. */
+constexpr std::size_t kReservedDescriptors = 200;
+/** Connections of the platform, which are served on the control thread. */
+constexpr std::size_t kMaxControlConnections = 32;
+/** Share of the memory for bodies, and for input and output in buffers. The
+ * largest body allowed must fit on the smallest VM. */
+constexpr double kHeldMemoryShare = 0.5;
+constexpr double kBytesPerMb = 1024.0 * 1024;
 constexpr int kExitGraceful = 0;
 constexpr int kExitCallsLost = 1;
 constexpr int kExitNotStarted = 2;
@@ -66,6 +76,16 @@
   return record;
 }
 
+/** Returns the most connections that callers may have; 0: no limit. */
+std::size_t
+MaxCallerConnections(const settings::FleetSettings& aSettings)
+{
+  return aSettings.maxDescriptors > kReservedDescriptors
+           ? std::max<std::size_t>(
+               1, (aSettings.maxDescriptors - kReservedDescriptors) / 2)
+           : 0;
+}
+
 TrafficPlane::Options
 TrafficOptions(const settings::FleetSettings& aSettings,
                const FleetPlatform& aPlatform)
@@ -80,6 +100,7 @@
   options.linkBytesPerMs = aSettings.linkMbps * kBytesPerMsPerMbps;
   options.warmupOvershoot = aSettings.warmupOvershoot;
   options.maxKeyAge = aSettings.maxKeyAge;
+  options.maxCallerConnections = MaxCallerConnections(aSettings);
   options.allowanceSlots = aSettings.zones.size();
   options.callerDialect = aPlatform.callerDialect;
   options.backendDialect = aPlatform.backendDialect;
@@ -213,6 +234,11 @@
                { { "reason", reason } });
       return kExitNotStarted;
     }
+    HeldBytes::SetLimit(static_cast<std::size_t>(
+      mSettings.memoryMb * kBytesPerMb * kHeldMemoryShare));
+    for (auto* it : { &mReady, &mReports, &mMetricsPage }) {
+      it->SetMaxConnections(kMaxControlConnections);
+    }
     mTraffic.SetCallerService(mSettings.service);
     mControlLoop.RunEvery(kSettingsPollInterval, [this] { PollSettings(); });
     mControlLoop.Post([this] { mCore.Start(); });
--- a/src/node/LinkPeerClient.cpp
+++ b/src/node/LinkPeerClient.cpp
@@ -41,7 +41,7 @@
         return;
       }
       mCountBytes(kind, 0, aResponse->body.size() + kStreamOverheadBytes);
-      aCallback(&aResponse->body);
+      aCallback(&aResponse->body.Get());
     });
 }
 
--- a/src/node/TrafficPlane.cpp
+++ b/src/node/TrafficPlane.cpp
@@ -1,5 +1,6 @@
 #include "TrafficPlane.h"
 
+#include "knapweedpaddle/common/HeldBytes.h"
 #include "knapweedpaddle/nodes/CallCodec.h"
 
 namespace knapweedpaddle::node {
@@ -71,6 +72,7 @@
               },
                mServices.onNodeRequest })
 {
+  mCallers.SetMaxConnections(mOptions.maxCallerConnections);
   mServices.loop.RunEvery(kTickInterval, [this] { OnTick(); });
   mServices.loop.RunEvery(kEvidenceInterval, [this] {
     mDispatcher.CountSlowInFlight();
@@ -210,6 +212,10 @@
   CloseAfterPause();
   mBodies.OnTick();
   mDispatcher.OnTick();
+  mServices.metrics.SetGauge(
+    "held_bytes", {}, static_cast<double>(HeldBytes::Total()));
+  mServices.metrics.SetGauge(
+    "connections_shed", {}, static_cast<double>(mCallers.ConnectionsShed()));
   if (mForwarder.HasTeamSurge()) {
     ReportTeamUsages();
   }
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -62,6 +62,7 @@
     Milliseconds maxKeyAge{ 0 };
     std::size_t allowanceSlots = 0;
     double linkBytesPerMs = 0; ///< rate of the VM's link; 0 if it is not known
+    std::size_t maxCallerConnections = 0; ///< open at a time; 0: no limit
     /** Factor by which the calls of any second may exceed the rate that a cold
      * backend server takes. */
     double warmupOvershoot = 1;
--- a/src/nodes/LinkClient.cpp
+++ b/src/nodes/LinkClient.cpp
@@ -267,6 +267,7 @@
     LinkResponse response{ stream->status,
                            std::move(stream->headers),
                            std::move(stream->body) };
+    stream->held.Set(0);
     if (!aConnection.session->MaySendWhole(aStream)) {
       // The peer responded without the rest of the body.
       aConnection.session->ResetStream(aStream, NGHTTP2_CANCEL);
--- a/src/nodes/LinkServer.cpp
+++ b/src/nodes/LinkServer.cpp
@@ -234,6 +234,7 @@
     request.path = std::move(stream->path);
     request.headers = std::move(stream->headers);
     request.body = std::move(stream->body);
+    stream->held.Set(0);
     request.begunAt = stream->begunAt;
     request.delay = NoteDelay(aConnection, aStream);
     if (request.delay > kMaxUnconfirmedDelay) {
--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint32_t kWindowBytes = 4 * 1024 * 1024;
 constexpr std::uint32_t kMaxStreams = 4096;
 constexpr std::size_t kMaxHeaderCount = 512;
+/** Bodies up to this size are received even if memory is short. */
+constexpr std::size_t kSmallBodyBytes = 64UL * 1024;
 /** No further frame is made while the socket's buffer holds this many bytes.
  * Frames made later, such as a cancellation or a short request, then go ahead
  * of the rest of a large body. */
@@ -114,13 +116,18 @@
     if (!stream) {
       return 0;
     }
-    if (stream->body.size() + aSize > kMaxLinkBodyBytes) {
+    // A server reads only bodies that it has accepted, or small ones.
+    const bool isMemoryShort =
+      Self(aSelf).mRole == LinkSession::Role::kClient &&
+      stream->body.size() >= kSmallBodyBytes && !HeldBytes::HasRoomFor(aSize);
+    if (isMemoryShort || stream->body.size() + aSize > kMaxLinkBodyBytes) {
       stream->tooLarge = true;
       nghttp2_submit_rst_stream(
         aSession, NGHTTP2_FLAG_NONE, aStream, NGHTTP2_CANCEL);
       return 0;
     }
     stream->body.append(reinterpret_cast<const char*>(aData), aSize);
+    stream->held.Set(stream->body.size());
     if (Self(aSelf).mRole == LinkSession::Role::kServer) {
       // Only the stream's own window, which AcceptBody() widens, holds a body
       // back.
--- a/src/nodes/LinkSession.h
+++ b/src/nodes/LinkSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "knapweedpaddle/common/HeldBytes.h"
 #include "knapweedpaddle/nodes/Link.h"
 
 #include <cstdint>
@@ -39,7 +40,8 @@
     int status = 0;
     std::vector<LinkHeader> headers;
     std::string body;
-    std::string outgoingBody;
+    HeldBytesShare held; ///< of the body
+    SharedBytes outgoingBody;
     std::size_t outgoingBodySent = 0;
     /** The peer waits for the outgoing body; a large one is held until then. */
     bool outgoingBodyAccepted = true;
--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -543,3 +543,32 @@
     return answered;
   }));
 }
+
+// Guards against requests that stay in memory for good once they are answered.
+TEST_CASE("an exchange is freed after its response", "[http]")
+{
+  EventLoop loop;
+  std::weak_ptr<Exchange> last;
+  Server server(loop, [&](const ExchangePtr& aExchange) {
+    last = aExchange;
+    aExchange->OnClientDisconnect([aExchange] {});
+    loop.Post([aExchange] {
+      Response response;
+      response.status = 200;
+      aExchange->Respond(std::move(response));
+    });
+  });
+  const std::string address = FreeAddress();
+  REQUIRE(server.Listen(address));
+  Client client(loop, {});
+  client.SetAddress(address);
+  bool answered = false;
+  Request request;
+  request.method = "GET";
+  request.target = "/";
+  client.Send(request,
+              Milliseconds(1000),
+              [&](const std::optional<Response>& aResponse,
+                  const ClientReason&) { answered = aResponse.has_value(); });
+  CHECK(RunUntil(loop, [&] { return answered && last.expired(); }));
+}
--- a/tests/platform/RowStoreClientTest.cpp
+++ b/tests/platform/RowStoreClientTest.cpp
@@ -125,7 +125,7 @@
   CHECK(it.Follow(before));
   CHECK(it.requests.back().target.find("after=90&") != std::string::npos);
   CHECK(it.Commit(before));
-  CHECK(it.requests.back().body.find(R"("ver":90)") != std::string::npos);
+  CHECK(it.requests.back().body.Get().find(R"("ver":90)") != std::string::npos);
   it.history = "5";
   it.version = "95";
   CHECK_FALSE(it.Follow(before));
