Limit second tries of slow calls to a share that operators set

Cause: hedges came out of the retry budget alone. Operators could not limit the extra work, and hedges went on while servers refused calls for want of room.

Change: HedgePolicy decides when a call is hedged, keeps hedges within hedge-share (deploy/settings.json) and stops them while a twentieth of a service's calls are refused.

--- a/include/knapweedpaddle/callers/CallForwarder.h
+++ b/include/knapweedpaddle/callers/CallForwarder.h
@@ -47,6 +47,8 @@
     Milliseconds maxKeyAge{ 0 };
     /** Slots that share the teams' allowances; see TeamAllowances. */
     std::size_t allowanceSlots = 0;
+    /** Second tries of slow calls permitted for each call; 0: none. */
+    double hedgeShare = 0.13;
   };
 
   CallForwarder(Services aServices, Identity aIdentity, std::uint64_t aSeed);
--- a/include/knapweedpaddle/settings/FleetSettings.h
+++ b/include/knapweedpaddle/settings/FleetSettings.h
@@ -42,6 +42,10 @@
   /** Retries allowed per budget window beyond that ratio, over all nodes
    * together. */
   double retryBudgetSlack = 60;
+  /** Second tries of slow calls permitted for each call, over a service; 0:
+   * none.
+   */
+  double hedgeShare = 0.13;
   /** Factor by which the calls of any second may exceed the rate that a cold
    * backend server takes. */
   double warmupOvershoot = 1;
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -5,6 +5,7 @@
 #include "knapweedpaddle/callers/HeldCalls.h"
 #include "knapweedpaddle/callers/RetryAdvice.h"
 #include "knapweedpaddle/nodes/CallCodec.h"
+#include "knapweedpaddle/routing/HedgePolicy.h"
 #include "knapweedpaddle/routing/LoadBalancer.h"
 #include "knapweedpaddle/routing/LowDiscrepancySequence.h"
 #include "knapweedpaddle/routing/RepeatPolicy.h"
@@ -39,13 +40,6 @@
 /** A call is held for a third of its timeout at most, so that its caller has
  * time left to try another node. */
 constexpr int kHoldTimeoutDivisor = 3;
-/** A call is hedged after this multiple of the mean time of its route. */
-constexpr double kHedgeMeanFactor = 2.2;
-/** Earliest time for a hedge, as a fraction of the latency target. */
-constexpr double kMinHedgeTargetFraction = 0.55;
-/** Latest time for a hedge, as a fraction of the latency target; a later hedge
- * would miss the target. */
-constexpr double kMaxHedgeTargetFraction = 0.85;
 /** A call is not retried once more than this many of its tries did not reach a
  * backend server. */
 constexpr std::uint32_t kMaxTriesNotArrived = 4;
@@ -272,6 +266,7 @@
         FinishUnanswered(aCall, "the deadline passed");
       });
     RetryPolicyFor(aCall->service).CountCall();
+    HedgePolicyFor(aCall->service).CountCall(Now());
     StartFirstTry(aCall);
   }
 
@@ -458,6 +453,12 @@
     return mRetryPolicies.try_emplace(aService, mView->retries).first->second;
   }
 
+  routing::HedgePolicy& HedgePolicyFor(const std::string& aService)
+  {
+    return mHedgePolicies.try_emplace(aService, mIdentity.hedgeShare)
+      .first->second;
+  }
+
   routing::PickCriteria QueryFor(const Call& aCall,
                                  const std::string& aVersion) const
   {
@@ -660,6 +661,9 @@
     const bool arrived =
       aFailure.arrived || aFailure.outcome == TryOutcome::kUnknown;
     aCall->mayHaveRun |= aFailure.outcome == TryOutcome::kUnknown;
+    if (aFailure.ownerAnswered && aFailure.outcome == TryOutcome::kNotRun) {
+      HedgePolicyFor(aCall->service).CountRefusal(Now());
+    }
     aCall->triesArrived += arrived ? 1 : 0;
     aCall->triesNotArrived += arrived ? 0 : 1;
     aCall->steps.push_back(
@@ -733,35 +737,12 @@
     aCall->active.erase(it);
   }
 
-  /** Returns the delay until a call is hedged, that is sent to a second server
-   * as well; nothing if it is not hedged. */
-  std::optional<Milliseconds> HedgeDelay(const Call& aCall) const
-  {
-    const Milliseconds target = aCall.route.slowAfter;
-    switch (aCall.route.callClass) {
-      case CallClass::kCheck:
-        return target;
-      case CallClass::kAtMostOnce:
-        return std::nullopt;
-      case CallClass::kIdempotent:
-        break;
-    }
-    const Milliseconds wellAboveMean(static_cast<std::int64_t>(
-      kHedgeMeanFactor * mBalancer.RouteMs(aCall.route.header.name)));
-    const auto earliest = std::chrono::duration_cast<Milliseconds>(
-      target * kMinHedgeTargetFraction);
-    const auto latest = std::chrono::duration_cast<Milliseconds>(
-      target * kMaxHedgeTargetFraction);
-    const Milliseconds delay = std::max(wellAboveMean, earliest);
-    return delay <= latest && aCall.route.maxTries > 1 ? std::optional(delay)
-                                                       : std::nullopt;
-  }
-
   /** Sends a call that is still unanswered after its hedge delay to a second
    * server. */
   void ScheduleHedge(const CallPtr& aCall)
   {
-    const auto delay = HedgeDelay(*aCall);
+    const auto delay = routing::HedgePolicy::DelayOf(
+      aCall->route, mBalancer.RouteMs(aCall->route.header.name));
     if (!delay) {
       return;
     }
@@ -770,18 +751,31 @@
       if (aCall->active.size() != 1 || aCall->triesSent != 1) {
         return;
       }
-      if (const auto refusal = CheckRepeat(*aCall)) {
-        const std::string name(NameOf(routing::kRetryRefusalNames, *refusal));
-        aCall->steps.push_back("no hedge: " + name);
-        mServices.metrics.Count("hedges_refused_total", { { "reason", name } });
+      const std::string refusal = CheckHedge(*aCall);
+      if (!refusal.empty()) {
+        aCall->steps.push_back("no hedge: " + refusal);
+        mServices.metrics.Count("hedges_refused_total",
+                                { { "reason", refusal } });
         return;
       }
-      if (RetryPolicyFor(aCall->service).TakeHedge(Now()) && StartTry(aCall)) {
+      if (StartTry(aCall)) {
         mServices.metrics.Count("hedges_total", {});
       }
     });
   }
 
+  /** Takes a hedge from the budgets; returns why it must not be sent, or "". */
+  std::string CheckHedge(const Call& aCall)
+  {
+    if (const auto refusal = CheckRepeat(aCall)) {
+      return std::string(NameOf(routing::kRetryRefusalNames, *refusal));
+    }
+    if (const auto refusal = HedgePolicyFor(aCall.service).Check(Now())) {
+      return std::string(NameOf(routing::kHedgeRefusalNames, *refusal));
+    }
+    return RetryPolicyFor(aCall.service).TakeHedge(Now()) ? "" : "budget_spent";
+  }
+
   /** Finishes a call that no further try can answer, with the failure response
    * of a backend server if there was one. */
   void FinishUnanswered(const CallPtr& aCall, const std::string& aReason)
@@ -953,6 +947,8 @@
   TeamAdmission mTeams;
   /** Retry policies, keyed by service. */
   std::unordered_map<std::string, routing::RetryPolicy> mRetryPolicies;
+  /** Hedge policies, keyed by service. */
+  std::unordered_map<std::string, routing::HedgePolicy> mHedgePolicies;
   std::unordered_map<std::string, RateLimit> mLimits;
   /** Sequences that spread calls over services and versions, keyed by name. */
   std::unordered_map<std::string, routing::LowDiscrepancySequence> mSequences;
--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -100,6 +100,7 @@
   options.linkBytesPerMs = aSettings.linkMbps * kBytesPerMsPerMbps;
   options.warmupOvershoot = aSettings.warmupOvershoot;
   options.maxKeyAge = aSettings.maxKeyAge;
+  options.hedgeShare = aSettings.hedgeShare;
   options.maxCallerConnections = MaxCallerConnections(aSettings);
   options.allowanceSlots = aSettings.zones.size();
   options.callerDialect = aPlatform.callerDialect;
--- a/src/node/TrafficPlane.h
+++ b/src/node/TrafficPlane.h
@@ -61,6 +61,7 @@
     /** See callers::CallForwarder::Identity. */
     Milliseconds maxKeyAge{ 0 };
     std::size_t allowanceSlots = 0;
+    double hedgeShare = 0.13;
     double linkBytesPerMs = 0; ///< rate of the VM's link; 0 if it is not known
     std::size_t maxCallerConnections = 0; ///< open at a time; 0: no limit
     /** Factor by which the calls of any second may exceed the rate that a cold
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -309,3 +309,23 @@
   CHECK(reason.find("version 3") != std::string::npos);
   CHECK(reason.find("secret") == std::string::npos);
 }
+
+TEST_CASE("operators' options are read beside the platform's settings",
+          "[platform]")
+{
+  std::string reason;
+  const auto decode = [&reason](const std::string& aOptions) {
+    return DecodeSettings(
+      "{\"options\": " + aOptions + ", \"vm\": " + kSettings + "}", reason);
+  };
+  const auto settings = decode(R"({"hedge-share": 0.02})");
+  REQUIRE(settings);
+  CHECK(settings->hedgeShare == 0.02);
+  CHECK(settings->name == "sidecar-1");
+  CHECK_FALSE(decode(R"({"hedge-share": 2})"));
+  CHECK(reason.find("hedge-share") != std::string::npos);
+  CHECK_FALSE(decode("[]"));
+  REQUIRE(decode("{}"));
+  CHECK(decode("{}")->hedgeShare ==
+        DecodeSettings(kSettings, reason)->hedgeShare);
+}
