--- a/tests/backends/SlotQueueTest.cpp
+++ b/tests/backends/SlotQueueTest.cpp
@@ -418,3 +418,84 @@
   it.queue.Update(kNow + Milliseconds(100));
   CHECK(it.refusals[4] == SlotRefusal::kWaitTooLong);
 }
+
+// Load: long calls for 1.3 times what the slots can run, and short calls that
+// servers make while they run other calls. A short call that is refused would
+// cost its caller's whole work.
+TEST_CASE("in overload short calls are served, and cost long ones little",
+          "[slots][load]")
+{
+  constexpr Milliseconds kLong{ 250 };
+  constexpr Milliseconds kShort{ 50 };
+  constexpr int kSlots = 6;
+  struct Counts
+  {
+    int asked = 0;
+    int served = 0;
+  };
+  const auto run = [&](bool aMarked, double aShortPerSecond) {
+    std::map<bool, Counts> counts;
+    std::map<std::uint64_t, SlotRequest> requests;
+    std::multimap<Timestamp, std::uint64_t> ends;
+    Timestamp now = kNow;
+    ServerRateLimit rateLimit = Unlimited();
+    WarmupLimit warmup{ kNow };
+    const auto start = [&](std::uint64_t aId) {
+      const bool isShort = requests.at(aId).route == "short";
+      ++counts[isShort].served;
+      ends.emplace(now + (isShort ? kShort : kLong), aId);
+    };
+    SlotQueue queue(
+      0,
+      rateLimit,
+      warmup,
+      [&](std::uint64_t aId, std::optional<SlotRefusal> aRefusal) {
+        if (!aRefusal) {
+          start(aId);
+        }
+      });
+    queue.SetSlots(kSlots);
+    const auto ask = [&](bool aShort) {
+      SlotRequest request;
+      request.id = requests.size() + 1;
+      request.route = aShort ? "short" : "long";
+      request.serviceMs =
+        static_cast<double>((aShort ? kShort : kLong).count());
+      request.targetLatency = Milliseconds(aShort ? 200 : 700);
+      request.targetDeadline = now + request.targetLatency;
+      request.deadline = now + Milliseconds(aShort ? 600 : 2500);
+      request.isShort = aShort && aMarked;
+      requests[request.id] = request;
+      ++counts[aShort].asked;
+      SlotRefusal refusal{};
+      if (queue.Request(request, now, refusal) ==
+          SlotQueue::Admission::kSlotGranted) {
+        start(request.id);
+      }
+    };
+    double longDue = 0;
+    double shortDue = 0;
+    for (int n = 0; n < 20'000; ++n, now += Milliseconds(1)) {
+      while (!ends.empty() && ends.begin()->first <= now) {
+        const bool isShort = requests.at(ends.begin()->second).route == "short";
+        ends.erase(ends.begin());
+        queue.Release(CallClass::kIdempotent, isShort ? kShort : kLong, now);
+      }
+      queue.Update(now);
+      constexpr double kLongPerMs = 1.3 * kSlots / 250;
+      for (longDue += kLongPerMs; longDue >= 1; --longDue) {
+        ask(false);
+      }
+      for (shortDue += aShortPerSecond / 1000; shortDue >= 1; --shortDue) {
+        ask(true);
+      }
+    }
+    return counts;
+  };
+  constexpr double kShortPerSecond = 24; // a fifth of the slots' time
+  auto counts = run(true, kShortPerSecond);
+  CHECK(counts[true].served >= counts[true].asked * 99 / 100);
+  // Long calls lose no more than the time that the short ones take.
+  const int alone = run(true, 0)[false].served;
+  CHECK(counts[false].served >= alone * 75 / 100);
+}
