Check a configuration before it is sent

Operators found errors of a configuration only once the platform had taken it. knapweed check FILE reads a file as the platform would send it, lists errors, entries that can never match and limits that contradict each other, and with a second file what differs from it; keys of teams are never shown.

Also: a link that had failed before its connect ended could be marked as connected by the late event. Found by reading; not shown by a run.

--- a/apps/knapweed/Commands.cpp
+++ b/apps/knapweed/Commands.cpp
@@ -1,6 +1,8 @@
 #include "Commands.h"
 
 #include "ApiClient.h"
+#include "ConfigFile.h"
+#include "knapweedpaddle/config/ConfigCheck.h"
 #include "knapweedpaddle/telemetry/RequestLog.h"
 
 #include <chrono>
@@ -25,6 +27,7 @@
 constexpr int kExitOutcomeUnknown = 4;
 constexpr int kExitUnavailable = 5;
 constexpr int kExitTakenBack = 6;
+constexpr int kExitWarnings = 7;
 
 constexpr std::chrono::milliseconds kWatchInterval{ 250 };
 
@@ -117,6 +120,38 @@
   {
   }
 
+  /** Checks a configuration in a file; with a second one, also prints what the
+   * first one changes against it. */
+  static int CheckFile(const std::vector<std::string>& aFiles)
+  {
+    std::vector<config::SnapshotPtr> snapshots;
+    for (const auto& it : aFiles) {
+      std::string reason;
+      snapshots.push_back(ReadConfigFile(it, reason));
+      if (!snapshots.back()) {
+        std::fprintf(stderr, "knapweed: %s: %s\n", it.c_str(), reason.c_str());
+        return kExitRefused;
+      }
+    }
+    int code = kExitOk;
+    for (const auto& it : config::Check(*snapshots[0])) {
+      std::printf(
+        "%s %s: %s\n",
+        std::string(NameOf(config::kFindingLevelNames, it.level)).c_str(),
+        it.entry.c_str(),
+        it.message.c_str());
+      const bool isError = it.level == config::FindingLevel::kError;
+      code = isError || code == kExitRefused ? kExitRefused : kExitWarnings;
+    }
+    if (snapshots.size() > 1) {
+      for (const auto& it :
+           config::DescribeChanges(*snapshots[1], *snapshots[0])) {
+        std::printf("%s\n", it.c_str());
+      }
+    }
+    return code;
+  }
+
   int Apply(const std::string& aFile)
   {
     Json entries;
@@ -388,6 +423,16 @@
       [](CommandRunner& aRunner, const Words& aWords) {
         return aRunner.Apply(aWords[0]);
       } },
+    { { "check" },
+      1,
+      [](CommandRunner&, const Words& aWords) {
+        return CommandRunner::CheckFile(aWords);
+      } },
+    { { "check" },
+      2,
+      [](CommandRunner&, const Words& aWords) {
+        return CommandRunner::CheckFile(aWords);
+      } },
     { { "get" },
       1,
       [](CommandRunner& aRunner, const Words& aWords) {
--- a/apps/knapweed/Commands.h
+++ b/apps/knapweed/Commands.h
@@ -9,6 +9,9 @@
 inline constexpr const char* kUsage =
   "changes and inspects the catalogue of a mesh.\n\n"
   "  knapweed apply FILE          write the entries of a catalogue file\n"
+  "  knapweed check FILE [FILE]   check a configuration, and show what it "
+  "changes\n"
+  "                               against the one in the second file\n"
   "  knapweed get KIND/NAME       show one entry\n"
   "  knapweed list                show all entries\n"
   "  knapweed delete KIND/NAME    remove one entry\n"
@@ -24,7 +27,7 @@
   "about a request\n\n"
   "exit codes: 0 accepted or done, 1 refused, 2 bad usage, 3 conflict,\n"
   "4 outcome unknown (repeat with --operation_id), 5 unavailable,\n"
-  "6 move taken back";
+  "6 move taken back, 7 check found warnings only";
 
 /** Options of the command line. */
 struct Options
--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -246,7 +246,7 @@
     if (aWhat & BEV_EVENT_CONNECTED) {
       self.mConnected = true;
       self.Flush();
-      if (self.mHandler.onConnected) {
+      if (!self.mFailed && self.mHandler.onConnected) {
         self.mHandler.onConnected();
       }
       return;
