--- a/include/knapweedpaddle/common/SharedBytes.h
+++ b/include/knapweedpaddle/common/SharedBytes.h
@@ -25,9 +25,9 @@
   const std::string& Get() const;
   operator const std::string&() const { return Get(); }
 
-  bool empty() const { return Get().empty(); }
-  std::size_t size() const { return Get().size(); }
-  const char* data() const { return Get().data(); }
+  bool IsEmpty() const { return Get().empty(); }
+  std::size_t Size() const { return Get().size(); }
+  const char* Data() const { return Get().data(); }
 
   friend bool operator==(const SharedBytes& aFirst, const SharedBytes& aSecond)
   {
--- a/src/config/ConfigCheck.cpp
+++ b/src/config/ConfigCheck.cpp
@@ -144,7 +144,8 @@
     const std::string from = value(aFrom, name);
     const std::string to = value(aTo, name);
     if (from != to) {
-      text += (text.empty() ? "" : ", ") + name + " " + from + " -> " + to;
+      text.append(text.empty() ? "" : ", ");
+      text.append(name).append(" ").append(from).append(" -> ").append(to);
     }
   }
   return text;
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -73,7 +73,7 @@
 bool
 NeedsContentLength(const Request& aRequest)
 {
-  return !aRequest.body.empty() ||
+  return !aRequest.body.IsEmpty() ||
          (aRequest.method != "GET" && aRequest.method != "HEAD" &&
           aRequest.method != "DELETE" && aRequest.method != "OPTIONS");
 }
@@ -123,7 +123,7 @@
   std::string out = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
   AppendHeaders(out, aRequest.headers);
   if (NeedsContentLength(aRequest)) {
-    out += "Content-Length: " + std::to_string(aRequest.body.size()) + "\r\n";
+    out += "Content-Length: " + std::to_string(aRequest.body.Size()) + "\r\n";
   }
   return out.append("\r\n");
 }
@@ -137,7 +137,7 @@
                     "\r\n";
   AppendHeaders(out, aResponse.headers);
   if (aResponse.status != kNoContent && aResponse.status != kNotModified) {
-    out += "Content-Length: " + std::to_string(aResponse.body.size()) + "\r\n";
+    out += "Content-Length: " + std::to_string(aResponse.body.Size()) + "\r\n";
   }
   if (aClose) {
     out += "Connection: close\r\n";
--- a/src/http/SharedWrite.cpp
+++ b/src/http/SharedWrite.cpp
@@ -15,8 +15,8 @@
 void
 WriteShared(bufferevent* aBuffer, const SharedBytes& aBytes)
 {
-  if (aBytes.size() < kMinReferenceBytes) {
-    bufferevent_write(aBuffer, aBytes.data(), aBytes.size());
+  if (aBytes.Size() < kMinReferenceBytes) {
+    bufferevent_write(aBuffer, aBytes.Data(), aBytes.Size());
     return;
   }
   auto* reference = new SharedBytes(aBytes);
@@ -24,8 +24,8 @@
     delete static_cast<SharedBytes*>(aReference);
   };
   if (evbuffer_add_reference(bufferevent_get_output(aBuffer),
-                             reference->data(),
-                             reference->size(),
+                             reference->Data(),
+                             reference->Size(),
                              release,
                              reference) != 0) {
     delete reference;
--- a/src/node/LinkPeerClient.cpp
+++ b/src/node/LinkPeerClient.cpp
@@ -30,7 +30,7 @@
   request.body = std::move(aBody);
   request.timeout = kRequestTimeout;
   const char* kind = aPath + 1; // the path without its slash
-  mCountBytes(kind, request.body.size() + kStreamOverheadBytes, 0);
+  mCountBytes(kind, request.body.Size() + kStreamOverheadBytes, 0);
   mLinks.Send(
     aAddress,
     request,
@@ -40,7 +40,7 @@
         aCallback(nullptr);
         return;
       }
-      mCountBytes(kind, 0, aResponse->body.size() + kStreamOverheadBytes);
+      mCountBytes(kind, 0, aResponse->body.Size() + kStreamOverheadBytes);
       aCallback(&aResponse->body.Get());
     });
 }
--- a/src/nodes/CallCodec.cpp
+++ b/src/nodes/CallCodec.cpp
@@ -139,7 +139,7 @@
           .count()) },
     { "method", aCall.method },
     { "target", aCall.path },
-    { "length", std::to_string(aCall.body.size()) }
+    { "length", std::to_string(aCall.body.Size()) }
   };
   // Headers without a value, which most calls lack, are left out to save bytes.
   const auto addIfSet = [&request](const char* aName,
@@ -218,7 +218,7 @@
   if (!head) {
     return std::nullopt;
   }
-  if (head->bodySize != aRequest.body.size()) {
+  if (head->bodySize != aRequest.body.Size()) {
     aReason = "the call's body differs in size from its length header";
     return std::nullopt;
   }
@@ -237,7 +237,7 @@
       std::string(NameOf(callers::kCallOutcomeNames, aResult.outcome)) },
     { "status", std::to_string(aResult.status) },
     { "load", EncodeFields(aLoad, kLoadFields) },
-    { "length", std::to_string(aResult.body.size()) }
+    { "length", std::to_string(aResult.body.Size()) }
   };
   if (aLoad.rateIntervalUs > 0) {
     response.headers.push_back({ "rate", EncodeFields(aLoad, kRateFields) });
@@ -273,7 +273,7 @@
     (header("rate").empty() || DecodeFields(header("rate"), kRateFields, load));
   const auto length = ParseUnsigned(header("length"));
   if (aResponse.status != kStatusOk || !outcome || !status || !hasLoad ||
-      !length || *length != aResponse.body.size() ||
+      !length || *length != aResponse.body.Size() ||
       header("call-id") != aCallId) {
     return std::nullopt;
   }
--- a/src/nodes/LinkSession.cpp
+++ b/src/nodes/LinkSession.cpp
@@ -202,11 +202,11 @@
       return NGHTTP2_ERR_DEFERRED;
     }
     const std::size_t n =
-      std::min(aLength, stream->outgoingBody.size() - stream->outgoingBodySent);
+      std::min(aLength, stream->outgoingBody.Size() - stream->outgoingBodySent);
     std::copy_n(
-      stream->outgoingBody.data() + stream->outgoingBodySent, n, aBuffer);
+      stream->outgoingBody.Data() + stream->outgoingBodySent, n, aBuffer);
     stream->outgoingBodySent += n;
-    if (stream->outgoingBodySent == stream->outgoingBody.size()) {
+    if (stream->outgoingBodySent == stream->outgoingBody.Size()) {
       *aFlags |= NGHTTP2_DATA_FLAG_EOF;
       stream->outgoingEnded = true;
     }
@@ -333,7 +333,7 @@
   }
   Stream& state = mStreams[stream];
   state.outgoingBody = aRequest.body;
-  state.outgoingBodyAccepted = aRequest.body.size() <= kFreeBodyBytes;
+  state.outgoingBodyAccepted = aRequest.body.Size() <= kFreeBodyBytes;
   Flush();
   return stream;
 }
--- a/tests/http/ExchangeTest.cpp
+++ b/tests/http/ExchangeTest.cpp
@@ -524,7 +524,7 @@
     request,
     Milliseconds(1000),
     [&answered](const std::optional<Response>& aResponse, const ClientReason&) {
-      answered = aResponse && aResponse->body.size() == 900'000;
+      answered = aResponse && aResponse->body.Size() == 900'000;
     });
   const std::string answer =
     "HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n";
--- a/tests/node/BodyAdmissionTest.cpp
+++ b/tests/node/BodyAdmissionTest.cpp
@@ -26,7 +26,7 @@
         [this](const nodes::LinkRequest& aRequest,
                const nodes::LinkResponderPtr& aResponder) {
           admission.OnEnded(aResponder.get());
-          bodies.push_back(aRequest.body.size());
+          bodies.push_back(aRequest.body.Size());
         },
         [this](const nodes::LinkRequest& aRequest,
                const nodes::LinkResponderPtr& aResponder) {
--- a/tests/nodes/LinkTest.cpp
+++ b/tests/nodes/LinkTest.cpp
@@ -372,7 +372,7 @@
   pending[0]->Respond({ 200, {}, std::string(bodySize, 'b') });
   CHECK(RunUntil(loop, [&] { return ended; }));
   REQUIRE(response);
-  CHECK(response->body.size() == bodySize);
+  CHECK(response->body.Size() == bodySize);
 }
 
 TEST_CASE("a request that was not sent whole is reported as not sent",
@@ -404,11 +404,11 @@
   LinkServer server(
     loop,
     [&](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
-      bodies.push_back(aRequest.body.size());
+      bodies.push_back(aRequest.body.Size());
       aResponder->Respond({ 200, {}, "whole" });
     },
     [&](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
-      CHECK(aRequest.body.empty());
+      CHECK(aRequest.body.IsEmpty());
       heads.push_back(aResponder);
     });
   const auto port = server.Listen("127.0.0.1", 0);
@@ -459,7 +459,7 @@
   std::vector<std::size_t> arrived; // body sizes
   LinkServer server(
     loop, [&](const LinkRequest& aRequest, const LinkResponderPtr& aResponder) {
-      arrived.push_back(aRequest.body.size());
+      arrived.push_back(aRequest.body.Size());
       aResponder->Respond({ 200, {}, "" });
     });
   const auto port = server.Listen("127.0.0.1", 0);
