--- a/include/knapweedpaddle/backends/SlotQueue.h
+++ b/include/knapweedpaddle/backends/SlotQueue.h
@@ -47,8 +47,6 @@
   Timestamp targetDeadline{};
   std::string route;    ///< name of the route, for the fairness between routes
   double serviceMs = 0; ///< expected service time at the backend server
-  /** The call takes far less time than others at this server. */
-  bool isShort = false;
   Timestamp giveUpAt{}; ///< when a late call is refused; set by the queue
 };
 
@@ -64,10 +62,6 @@
  * target is late: it waits behind all others, for a short time only, because in
  * overload slots are best used for calls that can still be answered on time.
  *
- * A short call may wait until its deadline and is never late. It delays others
- * little, while its refusal often costs a longer call: backend servers that run
- * calls for others fail when one that they make is refused.
- *
  * Thread safety: the traffic thread only.
  */
 class SlotQueue
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -41,9 +41,6 @@
 constexpr double kFailureShareSmoothing = 0.05;
 /** Weight of one call in the moving average of a route's service time. */
 constexpr double kRouteTimeSmoothing = 0.1;
-/** A call is short if it takes at most this part of the time that the longest
- * calls take. */
-constexpr double kShortShare = 0.5;
 constexpr double kPercent = 100;
 constexpr const char* kCrashRefusal =
   "backend servers crashed while they ran this request";
@@ -293,24 +290,9 @@
 
   SlotRequest SlotRequestFor(RunId aRun, const ForwardedCall& aCall) const
   {
-    SlotRequest request{
-      aRun,           aCall.callClass,     aCall.deadline,
-      aCall.priority, aCall.slowAfter,     aCall.targetDeadline,
-      aCall.route,    RouteMs(aCall.route)
-    };
-    request.isShort = request.serviceMs > 0 &&
-                      request.serviceMs <= kShortShare * LongestRouteMs();
-    return request;
-  }
-
-  /** Returns the highest average service time of any route. */
-  double LongestRouteMs() const
-  {
-    double longest = 0;
-    for (const auto& [route, milliseconds] : mRouteMs) {
-      longest = std::max(longest, milliseconds);
-    }
-    return longest;
+    return { aRun,           aCall.callClass,     aCall.deadline,
+             aCall.priority, aCall.slowAfter,     aCall.targetDeadline,
+             aCall.route,    RouteMs(aCall.route) };
   }
 
   /** Requests a slot for a call if the backend server can run it. */
--- a/src/backends/SlotQueue.cpp
+++ b/src/backends/SlotQueue.cpp
@@ -40,7 +40,7 @@
 bool
 IsLate(const SlotRequest& aRequest, Timestamp aNow)
 {
-  return !aRequest.isShort && aRequest.targetLatency > Milliseconds(0) &&
+  return aRequest.targetLatency > Milliseconds(0) &&
          static_cast<double>(RemainingTarget(aRequest, aNow).count()) <
            aRequest.serviceMs;
 }
@@ -222,15 +222,9 @@
 void
 SlotQueue::MoveLateCalls(Timestamp aNow)
 {
-  for (auto it = mQueuedRegular.begin(); it != mQueuedRegular.end();) {
-    if (it->isShort) {
-      ++it;
-    } else if (IsLate(*it, aNow)) {
-      QueueLate(std::move(*it), aNow);
-      it = mQueuedRegular.erase(it);
-    } else {
-      return; // Those behind it have later targets.
-    }
+  while (!mQueuedRegular.empty() && IsLate(mQueuedRegular.front(), aNow)) {
+    QueueLate(std::move(mQueuedRegular.front()), aNow);
+    mQueuedRegular.pop_front();
   }
 }
 
@@ -308,11 +302,6 @@
   }
   const Milliseconds service(
     static_cast<std::int64_t>(aRequest.serviceMs * kServiceTimeMargin));
-  if (aRequest.isShort) {
-    return FractionOf(std::chrono::duration_cast<Milliseconds>(
-                        aRequest.deadline - aNow - service),
-                      kMaxWaitFraction);
-  }
   const Milliseconds wait = std::max(
     FractionOf(RemainingTarget(aRequest, aNow) - service, kMaxWaitFraction),
     waitFloor);
