Read catalogue files in one place, and refuse what is none

knapweed check read files by its own copy of the code behind knapweed apply. It ended by an exception on JSON that is no object (exit code 134), and reported no fault for a file with neither entries nor routes (exit code 0).

--- a/apps/knapweed/Commands.cpp
+++ b/apps/knapweed/Commands.cpp
@@ -7,7 +7,6 @@
 
 #include <chrono>
 #include <cstdio>
-#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -155,7 +154,7 @@
   int Apply(const std::string& aFile)
   {
     Json entries;
-    if (!ReadEntries(aFile, entries)) {
+    if (!LoadEntries(aFile, entries)) {
       return kExitUsage;
     }
     if (const auto response = mClient.Get("/-/v1/entries");
@@ -264,7 +263,7 @@
   int MoveStart(const std::string& aFile)
   {
     Json entries;
-    if (!ReadEntries(aFile, entries)) {
+    if (!LoadEntries(aFile, entries)) {
       return kExitUsage;
     }
     if (const int code = Apply(aFile); code != kExitOk) {
@@ -310,23 +309,16 @@
 private:
   /** Reads the entries of a catalogue file. Prints an error and returns false
    * if that fails. */
-  static bool ReadEntries(const std::string& aFile, Json& aEntries)
+  static bool LoadEntries(const std::string& aFile, Json& aEntries)
   {
-    std::ifstream file(aFile);
-    if (!file) {
-      PrintUsageError("can't read file \"" + aFile + "\"");
-      return false;
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    try {
-      const Json json = Json::parse(text.str());
-      aEntries = json.is_array() ? json : json.at("entries");
-      return true;
-    } catch (const Json::exception& e) {
-      PrintUsageError("file \"" + aFile + "\": " + e.what());
+    std::string reason;
+    const auto entries = ReadEntries(aFile, reason);
+    if (!entries) {
+      PrintUsageError("file \"" + aFile + "\": " + reason);
       return false;
     }
+    aEntries = *entries;
+    return true;
   }
 
   /** Sets the revision of each entry that has none to the one in force, on the
--- a/apps/knapweed/ConfigFile.cpp
+++ b/apps/knapweed/ConfigFile.cpp
@@ -5,7 +5,6 @@
 
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace knapweedpaddle::cli {
 
@@ -16,6 +15,35 @@
 /** The platform's documents name no version of a service. */
 constexpr const char* kAnyVersion = "any";
 
+std::optional<Json>
+ReadJson(const std::string& aPath, std::string& aReason)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    aReason = "can't be read";
+    return std::nullopt;
+  }
+  try {
+    return Json::parse(file);
+  } catch (const Json::exception& e) {
+    aReason = e.what();
+    return std::nullopt;
+  }
+}
+
+/** Returns the entries of a catalogue file: a bare array, or the field
+ * "entries". */
+std::optional<Json>
+EntriesOf(const Json& aJson, std::string& aReason)
+{
+  try {
+    return aJson.is_array() ? aJson : aJson.at("entries");
+  } catch (const Json::exception& e) {
+    aReason = e.what();
+    return std::nullopt;
+  }
+}
+
 config::SnapshotPtr
 ReadCatalogue(const Json& aEntries, std::string& aReason)
 {
@@ -53,23 +81,26 @@
 
 } // namespace
 
+std::optional<Json>
+ReadEntries(const std::string& aPath, std::string& aReason)
+{
+  const auto json = ReadJson(aPath, aReason);
+  return json ? EntriesOf(*json, aReason) : std::nullopt;
+}
+
 config::SnapshotPtr
 ReadConfigFile(const std::string& aPath, std::string& aReason)
 {
-  std::ifstream file(aPath);
-  std::ostringstream text;
-  text << file.rdbuf();
-  const Json json = Json::parse(text.str(), nullptr, false);
-  if (!file || json.is_discarded()) {
-    aReason = "can't be read, or is not valid JSON";
+  const auto json = ReadJson(aPath, aReason);
+  if (!json) {
     return nullptr;
   }
-  if (json.is_object() && json.contains("routes")) {
-    return ReadDocument(text.str(), aReason);
+  if (json->is_object() &&
+      (json->contains("routes") || json->contains("services"))) {
+    return ReadDocument(json->dump(), aReason);
   }
-  const Json entries =
-    json.is_array() ? json : json.value("entries", Json::array());
-  return ReadCatalogue(entries, aReason);
+  const auto entries = EntriesOf(*json, aReason);
+  return entries ? ReadCatalogue(*entries, aReason) : nullptr;
 }
 
 } // namespace knapweedpaddle::cli
