--- a/review/stand-ins-2/rig.h
+++ b/review/stand-ins-2/rig.h
@@ -27,6 +27,7 @@
 #include <poll.h>
 #include <set>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -98,11 +99,15 @@
 
 inline Record gRecord;
 
+/** Ends the processes that were started and removes the temporary folder. */
+void CleanUp();
+
 [[noreturn]] inline void
 GiveUp(const std::string& aReason)
 {
   gRecord.Line("the case could not run: " + aReason);
   std::fprintf(stderr, "could not run: %s\n", aReason.c_str());
+  CleanUp();
   std::_Exit(kCouldNotRun);
 }
 
@@ -620,7 +625,6 @@
 
 inline std::set<pid_t> gChildren;
 
-/** Ends the processes that were started and removes the temporary folder. */
 inline void
 CleanUp()
 {
@@ -734,6 +738,7 @@
     static const char* const kProgram = "target/platform/knapweed_sidecar";
     mPid = fork();
     if (mPid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL); // also if this script is interrupted
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(out, 1);
       dup2(out, 2);
@@ -1008,8 +1013,13 @@
       return false;
     }
     const double end = std::min(begin + workSeconds, limit);
-    Sleep(std::max(0.0, end - Now()));
+    const bool isDropped = WaitForClose(aStream, end);
     --mBusy;
+    if (isDropped) {
+      gRecord.Line("upstream " + id + ": drops " + request +
+                   ", whose connection was closed");
+      return false;
+    }
     const int code = begin + workSeconds > limit ? 504
                      : status                    ? status(aRequest)
                                                  : 200;
@@ -1017,15 +1027,23 @@
       code, echo + "Server-Stamp: " + id + "." + request + "\r\n", "by " + id));
   }
 
-  static void WaitForClose(Stream& aStream, double aUntil)
+  /** Returns true when the connection is closed, false at aUntil. */
+  static bool WaitForClose(Stream& aStream, double aUntil)
   {
-    char buf[256];
     while (Now() < aUntil) {
-      const ssize_t n = recv(aStream.Fd(), buf, sizeof(buf), 0);
-      if (n <= 0) {
-        return;
+      const double left = std::min(aUntil - Now(), 1.0);
+      pollfd item{ aStream.Fd(), POLLIN, 0 };
+      if (poll(&item, 1, static_cast<int>(left * 1000) + 1) <= 0) {
+        continue;
       }
+      char next = 0;
+      const ssize_t n = recv(aStream.Fd(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+      if (n == 0 || (n < 0 && errno != EAGAIN)) {
+        return true;
+      }
+      Sleep(0.001);
     }
+    return false;
   }
 
   Node& mNode;
