--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,5 +1,5 @@
-// A node confirms that its upstream leaves, is killed and started again, and
-// gets a status report of that upstream that was on its way before.
+// A bad version is rolled back, and the operator orders the next version before
+// the upstreams of the bad one have drained.
 
 #include "../stand-ins-2/rig.h"
 
@@ -7,12 +7,39 @@
 
 namespace {
 
-constexpr double kDrainSeconds = 2;
-constexpr double kContactSeconds = 3;
-/** How long the upstream goes on serving after the confirmation. */
-constexpr double kServesOn = 10;
-/** How late the status report arrives. */
-constexpr double kReportDelay = 2;
+constexpr double kDurationSeconds = 12;
+/** How long the upstream of the bad version stays after `rolled_back`. */
+constexpr double kDrainsAfter = 6;
+/** Share of the bad version's requests that fail. */
+constexpr int kFailsOneIn = 3;
+constexpr double kExposeShare = 0.1;
+constexpr double kExposeSlack = 50;
+constexpr int kConsumers = 30;
+
+std::string
+Order(const char* aVersion)
+{
+  return Json{ { "service", "alpha" },
+               { "to", aVersion },
+               { "duration-s", kDurationSeconds } }
+    .dump();
+}
+
+/** Waits until the status of the rollout to a version is final, and returns it. */
+std::string
+WaitForStatus(Store& aStore, const std::string& aVersion, double aUntil)
+{
+  while (Now() < aUntil) {
+    const Json status =
+      Json::parse(aStore.Get("status", "rollout/alpha"), nullptr, false);
+    if (status.is_object() && status.value("to", "") == aVersion &&
+        status.value("state", "") != "active") {
+      return status.value("state", "");
+    }
+    Sleep(0.05);
+  }
+  return "";
+}
 
 } // namespace
 
@@ -23,88 +50,99 @@
   Store store({ LoopbackNet() + "250", 8309 });
   Node first(1, "perth-a", "alpha", store);
   Node second(2, "perth-b", "alpha", store);
-  Node third(3, "perth-c", "beta", store);
+  Node third(3, "perth-c", "alpha", store);
+  Node fourth(4, "perth-a", "alpha", store);
+  const std::vector<Node*> nodes{ &first, &second, &third, &fourth };
   store.Put("op",
             "config",
             Json{ { "version", "r7" },
                   { "routes",
                     { { "r-alpha", Route("alpha", "non_idempotent", 1.5, 0.5) } } },
-                  { "services", { { "alpha", Service() }, { "beta", Service() } } },
+                  { "services", { { "alpha", Service() } } },
                   { "limits", Limits() } }
               .dump());
-  for (Node* it : { &first, &second, &third }) {
+  for (Node* it : nodes) {
     it->Start();
   }
   Sleep(1);
-  Upstream leaving(first, "i-a1", "alpha");
-  Upstream other(second, "i-a2", "alpha");
-  leaving.workSeconds = 0.1;
-  other.workSeconds = 0.3;
-  leaving.StartReports();
-  other.StartReports();
-  WaitReady({ &first, &second, &third });
+  Upstream old1(first, "i-a1", "alpha", "v1");
+  Upstream old2(second, "i-a2", "alpha", "v1");
+  old1.workSeconds = old2.workSeconds = 0.1;
+  old1.StartReports();
+  old2.StartReports();
+  WaitReady(nodes);
   Sleep(4);
 
   std::atomic<bool> sends{ true };
   std::mutex mutex;
-  std::set<std::string> unserved;
+  std::set<std::string> failed;
   std::vector<std::thread> consumers;
-  for (Node* node : { &second, &third, &second, &third }) {
-    consumers.emplace_back([&, node] {
+  for (int n = 0; n < kConsumers; ++n) {
+    consumers.emplace_back([&, node = nodes[static_cast<std::size_t>(n) % 3]] {
       while (sends) {
         Sent sent{ NewId(), "POST" };
         sent.body = "order";
-        if (Request(*node, sent).status != 200) {
+        if (Request(*node, sent).status == 500) {
           const std::scoped_lock lock(mutex);
-          unserved.insert(sent.id);
+          failed.insert(sent.id);
         }
         Sleep(0.03);
       }
     });
   }
-  Sleep(3);
-  if (RunsOf(leaving.id).empty()) {
-    GiveUp("the upstream gets no requests before it leaves");
-  }
+  Sleep(2);
 
-  leaving.StopReports();
-  // The last status report before the upstream leaves; it arrives late.
-  const Json report = leaving.Report("ready");
-  const double reportSentAt = Now();
-  gRecord.Line("upstream " + leaving.id + ": sends report ready, seq " +
-               report.at("seq").dump() + ", which is delayed");
-  if (!leaving.Deregister()) {
-    GiveUp("the upstream's leaving is not confirmed");
+  store.Put("op", "rollout/alpha", Order("v2"));
+  const double orderedAt = Now();
+  Upstream bad(third, "i-a3", "alpha", "v2");
+  bad.workSeconds = 0.07;
+  std::atomic<int> runs{ 0 };
+  bad.status = [&runs](const Message&) {
+    return ++runs % kFailsOneIn == 0 ? 500 : 200;
+  };
+  bad.StartReports();
+  if (WaitForStatus(store, "v2", orderedAt + kDurationSeconds) != "rolled_back") {
+    GiveUp("the bad version isn't rolled back");
   }
-  const double confirmedAt = Now();
+  const double rolledBackAt = Now();
+  const std::size_t before = RunsOf(bad.id).size();
+  Sleep(0.5);
+  Upstream next(fourth, "i-a4", "alpha", "v3");
+  next.workSeconds = 0.1;
   if (WithTrouble()) {
-    Sleep(0.2);
-    first.Kill();
-    Sleep(0.5);
-    first.Start(false);
+    store.Put("op", "rollout/alpha", Order("v3"));
   }
-  SleepUntil(reportSentAt + kReportDelay);
-  leaving.Send(report, ", late");
-  SleepUntil(confirmedAt + kServesOn);
-  leaving.Exit();
+  next.StartReports();
+  SleepUntil(rolledBackAt + kDrainsAfter);
+  bad.StopReports();
+  bad.state = "draining";
+  bad.Send(bad.Report("draining"));
+  SleepUntil(orderedAt + kDurationSeconds);
   sends = false;
   for (auto& it : consumers) {
     it.join();
   }
 
-  // All machines on the way were in touch: the first one again after contact-s.
-  const double from =
-    std::max(confirmedAt + kDrainSeconds,
-             WithTrouble() ? first.startedAt + kContactSeconds + 0.2 : 0);
-  int late = 0;
+  int all = 0;
+  int exposed = 0;
   int lost = 0;
-  for (const auto& it : RunsOf(leaving.id)) {
-    late += it.at > from ? 1 : 0;
-    lost += it.at > from && unserved.contains(it.request) ? 1 : 0;
+  {
+    const std::scoped_lock lock(gRunsMutex);
+    for (const auto& it : gRuns) {
+      if (it.at >= orderedAt && it.at <= orderedAt + kDurationSeconds) {
+        ++all;
+        exposed += it.upstream == bad.id ? 1 : 0;
+        lost += it.upstream == bad.id && failed.contains(it.request) ? 1 : 0;
+      }
+    }
   }
-  const std::string counts =
-    std::to_string(late) + " requests reached upstream " + leaving.id +
-    " later than drain-s after its leaving was confirmed, by machines in touch; " +
-    std::to_string(lost) + " of them ran and got no answer of the upstream";
-  Finish(late > 0 ? kBroken : kHeld, (late > 0 ? "DRAIN broken: " : "held: ") + counts);
+  const double allowed = kExposeShare * all + kExposeSlack;
+  const bool isBroken = exposed > allowed;
+  Finish(isBroken ? kBroken : kHeld,
+         std::string(isBroken ? "EXPOSURE broken: " : "held: ") + "version v2 got " +
+           std::to_string(exposed) + " of " + std::to_string(all) +
+           " requests between its order and its time budget, " +
+           std::to_string(before) + " of them before it was rolled back; allowed " +
+           std::to_string(static_cast<int>(allowed)) + "; " + std::to_string(lost) +
+           " requests that may not be repeated ran there and failed");
 }
