Select versions by objects instead of texts

A selector of versions was a text such as "!v2", which could exclude one version alone. VersionsFor() and PickCriteria now carry VersionSelector objects, which name any number of versions, so that a split can leave out several. VersionSplit also names versions to use only while no other server is known; no split sets them yet. The backend dispatcher, which always got the plain version of the chosen server, no longer parses it as a selector.

No change of behaviour: the unit tests of routing, moves and fleets build and pass as before; the fake fleet chooses owners by selector, too.

--- a/include/knapweedpaddle/backends/BackendDispatcher.h
+++ b/include/knapweedpaddle/backends/BackendDispatcher.h
@@ -26,7 +26,7 @@
 {
   std::string callId;
   std::string service;
-  std::string version; ///< a routing::VersionSelector
+  std::string version; ///< of the server; empty: any
   std::string route;
   config::CallClass callClass = config::CallClass::kIdempotent;
   std::uint32_t priority = 0;
--- a/include/knapweedpaddle/routing/LoadBalancer.h
+++ b/include/knapweedpaddle/routing/LoadBalancer.h
@@ -41,8 +41,8 @@
 struct PickCriteria
 {
   std::string service;
-  std::string version; ///< text form of a VersionSelector
-  std::string zone;    ///< zone of the node that sends the call
+  VersionSelector versions; ///< versions that may take the call
+  std::string zone;         ///< zone of the node that sends the call
   std::vector<nodes::NodeId> excludedNodes; ///< nodes already tried
   std::string route{};
   Milliseconds targetLatency{ 0 }; ///< latency that the call aims for
--- a/include/knapweedpaddle/routing/RoutingView.h
+++ b/include/knapweedpaddle/routing/RoutingView.h
@@ -4,9 +4,11 @@
 #include "knapweedpaddle/routing/RetryPolicy.h"
 #include "knapweedpaddle/routing/RouteTable.h"
 #include "knapweedpaddle/routing/TeamDirectory.h"
+#include "knapweedpaddle/routing/VersionSelector.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,14 +31,16 @@
 /** How a service's calls are split between two versions. */
 struct VersionSplit
 {
-  std::string fromVersion;
+  VersionSelector fromVersions;
   std::string toVersion; ///< empty if no move or rollout is in progress
+  /** Versions that get calls only while no other server is known. */
+  std::optional<VersionSelector> lastResort;
   /** Share of idempotent and check calls sent to toVersion. */
   double share = 0;
   double atMostOnceShare = 0; ///< share of at most once calls sent to toVersion
   bool condemned = false;     ///< whether toVersion must get no calls
-  /** Whether fromVersion's calls never fall back to toVersion, nor toVersion's
-   * to fromVersion once toVersion gets all calls. */
+  /** Whether calls of fromVersions never fall back to toVersion, nor
+   * toVersion's to fromVersions once toVersion gets all calls. */
   bool exclusive = false;
 };
 
@@ -76,14 +80,13 @@
 
   /**
    * Returns the versions that a call to a service may use, in order of
-   * preference, each as the text of a VersionSelector. Without a split the
-   * result is empty.
+   * preference. Without a split the result is empty.
    *
    * @param aDraw  number in [0, 1) that assigns the call to a version.
    */
-  std::vector<std::string> VersionsFor(const std::string& aService,
-                                       config::CallClass aClass,
-                                       double aDraw) const;
+  std::vector<VersionSelector> VersionsFor(const std::string& aService,
+                                           config::CallClass aClass,
+                                           double aDraw) const;
 };
 
 using RoutingViewPtr = std::shared_ptr<const RoutingView>;
--- a/include/knapweedpaddle/routing/VersionSelector.h
+++ b/include/knapweedpaddle/routing/VersionSelector.h
@@ -1,30 +1,46 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 namespace knapweedpaddle::routing {
 
-/** Selects the versions of a service's backend servers that may take a call. */
+/** Selects the versions of a service's backend servers that may take a call.
+ *
+ * Thread safety: as for a standard container. */
 struct VersionSelector
 {
-  std::string version;  ///< version to compare with; empty matches any
-  bool negated = false; ///< whether all versions but this one match
+  std::vector<std::string> versions;
+  bool negated = true; ///< whether all versions but these match
 
-  bool Matches(const std::string& aVersion) const
+  /** Returns a selector that matches one version. */
+  static VersionSelector Only(std::string aVersion)
+  {
+    return { { std::move(aVersion) }, false };
+  }
+
+  /** Returns a selector that matches all versions but some. */
+  static VersionSelector AllBut(std::vector<std::string> aVersions)
   {
-    return version.empty() || (aVersion == version) != negated;
+    return { std::move(aVersions), true };
   }
 
-  /** Returns the text form, such as "v2", or "!v2" if negated. */
-  std::string ToString() const { return (negated ? "!" : "") + version; }
+  bool Matches(const std::string& aVersion) const
+  {
+    const bool isListed =
+      std::ranges::find(versions, aVersion) != versions.end();
+    return isListed != negated;
+  }
 
-  /** Parses the text form. */
-  static VersionSelector Parse(const std::string& aText)
+  /** Returns a text for logs, such as "v2", or "!v2,v3" if negated. */
+  std::string ToString() const
   {
-    if (aText.starts_with('!')) {
-      return { aText.substr(1), true };
+    std::string out = negated ? "!" : "";
+    for (const auto& it : versions) {
+      out += (&it == &versions.front() ? "" : ",") + it;
     }
-    return { aText, false };
+    return out;
   }
 
   bool operator==(const VersionSelector&) const = default;
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -6,7 +6,6 @@
 #include "knapweedpaddle/backends/DepartedServers.h"
 #include "knapweedpaddle/backends/ServerRateLimit.h"
 #include "knapweedpaddle/http/Client.h"
-#include "knapweedpaddle/routing/VersionSelector.h"
 #include "knapweedpaddle/telemetry/Log.h"
 #include "knapweedpaddle/telemetry/LogRateLimiter.h"
 
@@ -279,9 +278,9 @@
       mServices.metrics.Count("crashing_calls_refused_total", {});
       return kCrashRefusal;
     }
-    const auto selector = routing::VersionSelector::Parse(aCall.version);
-    if (mBackend->service != aCall.service ||
-        !selector.Matches(mBackend->version)) {
+    const bool isVersion =
+      aCall.version.empty() || aCall.version == mBackend->version;
+    if (mBackend->service != aCall.service || !isVersion) {
       return "the backend server of this node is " + mBackend->service + " " +
              mBackend->version + ", not " + aCall.service + " " + aCall.version;
     }
--- a/src/callers/CallForwarder.cpp
+++ b/src/callers/CallForwarder.cpp
@@ -93,7 +93,7 @@
     Timestamp targetDeadline; ///< when the latency target ends
     telemetry::TraceContext trace;
     std::string parentSpan;
-    std::vector<std::string> versions; ///< service versions to try, in order
+    std::vector<routing::VersionSelector> versions; ///< to try, in order
     std::vector<nodes::NodeId> tried;
     std::vector<Try> active;     ///< tries without a result
     std::uint32_t triesSent = 0; ///< tries sent to owner nodes
@@ -459,10 +459,11 @@
       .first->second;
   }
 
-  routing::PickCriteria QueryFor(const Call& aCall,
-                                 const std::string& aVersion) const
+  routing::PickCriteria QueryFor(
+    const Call& aCall,
+    const routing::VersionSelector& aVersions) const
   {
-    return { aCall.service,           aVersion,
+    return { aCall.service,           aVersions,
              mIdentity.zone,          aCall.tried,
              aCall.route.header.name, aCall.route.slowAfter };
   }
@@ -470,9 +471,9 @@
   /** Returns the best target of the first version that has one, or null. */
   const routing::Target* Choose(const Call& aCall)
   {
-    for (const auto& version : aCall.versions) {
+    for (const auto& it : aCall.versions) {
       if (const auto* target =
-            mBalancer.Pick(*mView, QueryFor(aCall, version), Now())) {
+            mBalancer.Pick(*mView, QueryFor(aCall, it), Now())) {
         return target;
       }
     }
@@ -503,7 +504,7 @@
                            ToString(target->node) + " in " + target->zone +
                            ", version " + target->version + ", expected " +
                            std::to_string(std::lround(mBalancer.Cost(
-                             *target, QueryFor(*aCall, ""), now))) +
+                             *target, QueryFor(*aCall, {}), now))) +
                            " ms");
     mBalancer.Start(target->node);
     ForwardedCall forwarded = MakeForwardedCall(*aCall, next, target->version);
--- a/src/moves/MoveTracker.cpp
+++ b/src/moves/MoveTracker.cpp
@@ -103,7 +103,9 @@
       continue;
     }
     routing::VersionSplit& split = splits[service->header.name];
-    split.fromVersion = service->version;
+    if (!service->version.empty()) {
+      split.fromVersions = routing::VersionSelector::Only(service->version);
+    }
     if (const MoveEntry* move = aSnapshot.OpenMoveOf(service->header.name)) {
       const std::uint32_t stage = StageIn(*move, aZone);
       split.toVersion = move->toVersion;
--- a/src/moves/RolloutTracker.cpp
+++ b/src/moves/RolloutTracker.cpp
@@ -1,6 +1,5 @@
 #include "knapweedpaddle/moves/RolloutTracker.h"
 
-#include "knapweedpaddle/routing/VersionSelector.h"
 #include "knapweedpaddle/store/Revision.h"
 
 #include <algorithm>
@@ -155,8 +154,8 @@
     return split;
   }
   const Rollout& rollout = it->second;
-  const routing::VersionSelector others{ rollout.order.toVersion, true };
-  split.fromVersion = others.ToString();
+  split.fromVersions =
+    routing::VersionSelector::AllBut({ rollout.order.toVersion });
   split.toVersion = rollout.order.toVersion;
   split.condemned = rollout.condemned;
   split.share = ShareAtStage(rollout.stage);
--- a/src/routing/LoadBalancer.cpp
+++ b/src/routing/LoadBalancer.cpp
@@ -1,7 +1,5 @@
 #include "knapweedpaddle/routing/LoadBalancer.h"
 
-#include "knapweedpaddle/routing/VersionSelector.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -37,10 +35,9 @@
   if (it == aView.targets.end()) {
     return nullptr;
   }
-  const VersionSelector selector = VersionSelector::Parse(aCriteria.version);
   Candidates all;
   for (const auto& target : it->second) {
-    if (!target.evacuated && selector.Matches(target.version) &&
+    if (!target.evacuated && aCriteria.versions.Matches(target.version) &&
         std::ranges::find(aCriteria.excludedNodes, target.node) ==
           aCriteria.excludedNodes.end()) {
       all.push_back(&target);
--- a/src/routing/RoutingView.cpp
+++ b/src/routing/RoutingView.cpp
@@ -34,7 +34,7 @@
          std::ranges::all_of(it->second, &Target::evacuated);
 }
 
-std::vector<std::string>
+std::vector<VersionSelector>
 RoutingView::VersionsFor(const std::string& aService,
                          config::CallClass aClass,
                          double aDraw) const
@@ -44,22 +44,27 @@
     return {};
   }
   const VersionSplit& split = it->second;
-  if (split.toVersion.empty() || split.condemned) {
-    return { split.fromVersion };
-  }
-  const double share = aClass == config::CallClass::kAtMostOnce
+  const bool isSplit = !split.toVersion.empty() && !split.condemned;
+  const double share = !isSplit ? 0
+                       : aClass == config::CallClass::kAtMostOnce
                          ? split.atMostOnceShare
                          : split.share;
-  if (aDraw < share) {
-    return split.exclusive && share >= 1
-             ? std::vector{ split.toVersion }
-             : std::vector{ split.toVersion, split.fromVersion };
+  const VersionSelector newVersion = VersionSelector::Only(split.toVersion);
+  const bool isNew = aDraw < share;
+  if (isNew && split.exclusive && share >= 1) {
+    return { newVersion };
   }
-  if (share > 0 && !split.exclusive) {
+  std::vector<VersionSelector> versions{ split.fromVersions };
+  if (isNew) {
+    versions.insert(versions.begin(), newVersion);
+  } else if (share > 0 && !split.exclusive) {
     // The new version is the fallback if no old server is left.
-    return { split.fromVersion, split.toVersion };
+    versions.push_back(newVersion);
+  }
+  if (split.lastResort) {
+    versions.push_back(*split.lastResort);
   }
-  return { split.fromVersion };
+  return versions;
 }
 
 } // namespace knapweedpaddle::routing
--- a/tests/backends/WarmupLimitTest.cpp
+++ b/tests/backends/WarmupLimitTest.cpp
@@ -225,8 +225,14 @@
   void Send(std::uint64_t aId)
   {
     Call& call = mCalls.at(aId);
-    const auto* target = mBalancer.Pick(
-      mView, { "svc", "v1", "a", call.tried, "r", kTarget }, mNow);
+    const auto* target = mBalancer.Pick(mView,
+                                        { "svc",
+                                          routing::VersionSelector::Only("v1"),
+                                          "a",
+                                          call.tried,
+                                          "r",
+                                          kTarget },
+                                        mNow);
     if (!target || call.tried.size() >= kMaxOwners) {
       return;
     }
--- a/tests/fakes/FakeFleet.cpp
+++ b/tests/fakes/FakeFleet.cpp
@@ -411,16 +411,22 @@
     const double draw = std::uniform_real_distribution<double>(0, 1)(mRandom);
     const auto versions =
       ingress.view->VersionsFor("svc", config::CallClass::kIdempotent, draw);
-    const bool isNew = !versions.empty() && versions.front() == "v2";
     std::vector<NodeState*> owners;
-    std::ranges::copy_if(
-      running, std::back_inserter(owners), [isNew](const NodeState* aNode) {
-        return (aNode->version == "v2") == isNew;
-      });
+    for (const auto& version : versions) {
+      std::ranges::copy_if(running,
+                           std::back_inserter(owners),
+                           [&version](const NodeState* aNode) {
+                             return version.Matches(aNode->version);
+                           });
+      if (!owners.empty()) {
+        break;
+      }
+    }
     if (owners.empty()) {
       continue;
     }
     NodeState& owner = *owners[mRandom() % owners.size()];
+    const bool isNew = owner.version == "v2";
     const bool fails = isNew && std::uniform_real_distribution<double>(0, 1)(
                                   mRandom) < failShare;
     backends::EvidenceSums& sums = owner.evidence[{ owner.version, "r0" }];
--- a/tests/fakes/MoveTrial.cpp
+++ b/tests/fakes/MoveTrial.cpp
@@ -334,7 +334,8 @@
           std::max(mResult.largestShareReached, share->second.share);
       }
       const bool moved =
-        share->second.share >= 1 || share->second.fromVersion == "v2";
+        share->second.share >= 1 ||
+        share->second.fromVersions == routing::VersionSelector::Only("v2");
       allMoved = allMoved && moved && !condemned;
       if (move->state != config::MoveState::kOpen && !mMoveEnded) {
         mMoveEnded = true;
--- a/tests/moves/RolloutTest.cpp
+++ b/tests/moves/RolloutTest.cpp
@@ -42,6 +42,17 @@
   return std::binomial_distribution<std::uint64_t>(aCalls, aShare)(aRandom);
 }
 
+/** Returns the texts of selectors, for comparisons. */
+std::vector<std::string>
+TextOf(const std::vector<routing::VersionSelector>& aSelectors)
+{
+  std::vector<std::string> out;
+  for (const auto& it : aSelectors) {
+    out.push_back(it.ToString());
+  }
+  return out;
+}
+
 } // namespace
 
 TEST_CASE("rollout progress does not depend on the order of messages",
@@ -99,7 +110,7 @@
   routing::RoutingView view;
   const auto versions = [&](double aDraw) {
     view.splits["timetable"] = tracker.SplitOf("timetable");
-    return view.VersionsFor("timetable", CallClass::kIdempotent, aDraw);
+    return TextOf(view.VersionsFor("timetable", CallClass::kIdempotent, aDraw));
   };
   CHECK(versions(0.04) == std::vector<std::string>{ "v2", "!v2" });
   CHECK(versions(0.06) == std::vector<std::string>{ "!v2" });
@@ -109,7 +120,7 @@
   bad.AddOrder(Order(7), kNow);
   bad.Advance("timetable", RolloutStage::kDecided, true, "fails", kNow);
   view.splits["timetable"] = bad.SplitOf("timetable");
-  CHECK(view.VersionsFor("timetable", CallClass::kIdempotent, 0.01) ==
+  CHECK(TextOf(view.VersionsFor("timetable", CallClass::kIdempotent, 0.01)) ==
         std::vector<std::string>{ "!v2" });
   CHECK(view.VersionsFor("another", CallClass::kIdempotent, 0.5).empty());
 }
--- a/tests/routing/RoutingTest.cpp
+++ b/tests/routing/RoutingTest.cpp
@@ -47,8 +47,8 @@
 {
   std::size_t local = 0;
   for (std::size_t n = 0; n < aTries; ++n) {
-    const Target* it =
-      aBalancer.Pick(aView, { "svc", "v1", "here", {}, "r", {} }, kNow);
+    const Target* it = aBalancer.Pick(
+      aView, { "svc", VersionSelector::Only("v1"), "here", {}, "r", {} }, kNow);
     local += it && it->zone == "here" ? 1 : 0;
   }
   return local;
@@ -79,14 +79,19 @@
   fail(1);
   CHECK(balancer.IsEjected(nodes::NodeId{ 1 }, kNow));
   for (int n = 0; n < 50; ++n) {
-    CHECK(
-      balancer.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)->node !=
-      nodes::NodeId{ 1 });
+    CHECK(balancer
+            .Pick(view,
+                  { "svc", VersionSelector::Only("v1"), "here", {}, "r", {} },
+                  kNow)
+            ->node != nodes::NodeId{ 1 });
   }
   fail(2);
   std::map<nodes::NodeId, int> picks;
   for (int n = 0; n < 200; ++n) {
-    ++picks[balancer.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)
+    ++picks[balancer
+              .Pick(view,
+                    { "svc", VersionSelector::Only("v1"), "here", {}, "r", {} },
+                    kNow)
               ->node];
   }
   CHECK(picks.size() == 3);
@@ -193,7 +198,9 @@
   report(2, 2, 60);
   report(3, 10, 60);
   const auto pick = [&] {
-    return balancer.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)
+    return balancer
+      .Pick(
+        view, { "svc", VersionSelector::Only("v1"), "here", {}, "r", {} }, kNow)
       ->node;
   };
   CHECK(pick() == nodes::NodeId{ 2 });
@@ -215,9 +222,11 @@
   load.failedPercent = 40;
   balancer.ReportLoad(nodes::NodeId{ 2 }, "r", load, kNow);
   for (int n = 0; n < 50; ++n) {
-    CHECK(
-      balancer.Pick(view, { "svc", "v1", "here", {}, "r", {} }, kNow)->node ==
-      nodes::NodeId{ 1 });
+    CHECK(balancer
+            .Pick(view,
+                  { "svc", VersionSelector::Only("v1"), "here", {}, "r", {} },
+                  kNow)
+            ->node == nodes::NodeId{ 1 });
   }
 }
 
@@ -265,7 +274,12 @@
   const auto pick = [&](const std::string& aRoute, int aTargetMs) {
     return balancer
       .Pick(view,
-            { "svc", "v1", "here", {}, aRoute, Milliseconds(aTargetMs) },
+            { "svc",
+              VersionSelector::Only("v1"),
+              "here",
+              {},
+              aRoute,
+              Milliseconds(aTargetMs) },
             kNow)
       ->node;
   };
@@ -314,8 +328,8 @@
       load.queued = 40;
       balancer.ReportLoad(nodes::NodeId{ n }, "r", load, now);
     }
-    const Target* it =
-      balancer.Pick(view, { "svc", "v1", "here", {}, "r", {} }, now);
+    const Target* it = balancer.Pick(
+      view, { "svc", VersionSelector::Only("v1"), "here", {}, "r", {} }, now);
     const bool reached = it->zone == "here" || !isCut;
     lost += reached ? 0 : 1;
     balancer.Start(it->node);
@@ -344,8 +358,10 @@
   LoadBalancer balancer(LoadBalancerOptions{}, 1);
   const RoutingView view = ViewOf(0, 8);
   for (int n = 0; n < 400; ++n) {
-    const Target* it = balancer.Pick(
-      view, { "svc", "v1", "here", {}, "r", {} }, kNow + Milliseconds(10) * n);
+    const Target* it =
+      balancer.Pick(view,
+                    { "svc", VersionSelector::Only("v1"), "here", {}, "r", {} },
+                    kNow + Milliseconds(10) * n);
     balancer.Start(it->node);
     balancer.Finish(it->node,
                     static_cast<std::uint64_t>(it->node) > 3,
@@ -356,6 +372,8 @@
   for (std::uint64_t n = 1; n <= 8; ++n) {
     balancer.Finish(nodes::NodeId{ n }, false, kNow + Milliseconds(4000));
   }
-  CHECK(balancer.Pick(
-    view, { "svc", "v1", "here", {}, "r", {} }, kNow + Milliseconds(4000)));
+  CHECK(
+    balancer.Pick(view,
+                  { "svc", VersionSelector::Only("v1"), "here", {}, "r", {} },
+                  kNow + Milliseconds(4000)));
 }
