Keep the verdicts of earlier rollouts

Cause: RolloutTracker kept one rollout a service. A new order replaced the old one and the verdict with it, and SplitOf() let every version but the ordered one serve as the old one. Nothing else held the verdict: the status row is overwritten, and restarted nodes learned of the newest order alone.

Change: the tracker keeps the newest rollout of each other version and merges late progress into it; SplitOf() leaves condemned versions out until they are ordered again, and uses versions whose rollout was not decided only if no other server is known. The final status is written together with the rollout's result, which nodes read when they read an order. Calls of such versions no longer count as the old version's, and the canary stage counts calls of the current order alone.

--- a/include/knapweedpaddle/moves/RolloutTracker.h
+++ b/include/knapweedpaddle/moves/RolloutTracker.h
@@ -45,11 +45,15 @@
 };
 
 /**
- * Keeps the newest rollout of each service. A rollout's stage never goes back,
- * so that the result does not depend on the order of messages. An order
- * replaces one with a lower revision, but when the store was restored in
- * between and both name the same version, they are one order, whose rollout
- * goes on.
+ * Keeps the newest rollout of each service, and the ends of earlier ones to
+ * other versions. A rollout's stage never goes back, so that the result does
+ * not depend on the order of messages. An order replaces one with a lower
+ * revision, but when the store was restored in between and both name the same
+ * version, they are one order, whose rollout goes on.
+ *
+ * A version that was condemned gets no calls until it is ordered again. A
+ * version whose order was replaced before its rollout was decided is untested:
+ * it gets calls only while no other server is known.
  *
  * Thread safety: control thread only.
  */
@@ -73,17 +77,30 @@
                const std::string& aReason,
                Timestamp aNow);
 
-  /** Returns all rollouts by service. */
+  /** Returns the newest rollouts by service. */
   const std::map<std::string, Rollout>& All() const { return mRollouts; }
 
-  /** Returns the progress of all rollouts, for Merge() at peers. */
+  /** Returns the progress of the newest and earlier rollouts, for Merge() at
+   * peers. */
   std::vector<nodes::MoveProgress> Progress() const;
 
   /** Returns how a service's calls are split between versions. */
   routing::VersionSplit SplitOf(const std::string& aService) const;
 
 private:
+  using RolloutsByVersion = std::map<std::string, Rollout>;
+
+  /** Merges progress of an order that a newer one has replaced. */
+  bool MergeEarlier(const operators::RolloutOrder& aOrder,
+                    const nodes::MoveProgress& aProgress,
+                    Timestamp aNow);
+  /** Keeps a rollout that a newer order replaces. */
+  void KeepEarlier(Rollout aRollout);
+
   std::map<std::string, Rollout> mRollouts; ///< keyed by service
+  /** Earlier rollouts of a service, the newest of each version other than that
+   * of the service's entry in mRollouts. */
+  std::map<std::string, RolloutsByVersion> mEarlier;
 };
 
 } // namespace knapweedpaddle::moves
--- a/include/knapweedpaddle/node/RolloutAgent.h
+++ b/include/knapweedpaddle/node/RolloutAgent.h
@@ -68,6 +68,18 @@
     Timestamp nextTryAt{};  ///< earliest time of the next read
   };
 
+  /** A read of the results of a service's earlier rollouts. */
+  struct ResultsRead
+  {
+    bool isPending = false;
+    Timestamp nextTryAt{};
+  };
+
+  /** Reads the results of earlier rollouts of services with new orders. */
+  void ReadResults();
+  /** Merges the stored results of a service's rollouts. */
+  void MergeResults(const std::string& aService,
+                    const std::vector<operators::RolloutResult>& aResults);
   /** Returns the first holder of the reader duty in each zone. */
   std::vector<nodes::NodeId> JudgeNodes() const;
   /** Condemns a rollout whose new version does worse than the old one. */
@@ -102,6 +114,8 @@
    * is for. */
   std::map<std::string, std::uint64_t> mEvaluatedOrders;
   std::map<std::string, StatusUpdate> mStatusUpdates; ///< keyed by service
+  /** Reads of results that have not succeeded yet, keyed by service. */
+  std::map<std::string, ResultsRead> mResultsReads;
   Timestamp mNextProgressSendAt{}; ///< when a judge repeats its progress
 };
 
--- a/include/knapweedpaddle/operators/OrderStore.h
+++ b/include/knapweedpaddle/operators/OrderStore.h
@@ -31,12 +31,25 @@
   { RolloutState::kRolledBack, "rolled_back" },
 } };
 
-/** The status row of a service's rollouts, which operators read. */
+/** How the newest rollout to a version ended. */
+struct RolloutResult
+{
+  std::string version;
+  std::uint64_t orderRevision = 0; ///< revision of the rollout's order
+  RolloutState state = RolloutState::kCompleted; ///< never kActive
+
+  bool operator==(const RolloutResult&) const = default;
+};
+
+/** The status row of a service's rollouts, which operators read, and the row
+ * that keeps the results of its rollouts for nodes that start later. */
 struct RolloutStatus
 {
   std::string toVersion;
-  std::optional<RolloutState> state; ///< nothing if no state was written
-  std::uint64_t revision = 0;        ///< revision of the row, 0 without a row
+  std::optional<RolloutState> state;  ///< nothing if no state was written
+  std::uint64_t revision = 0;         ///< of the status row, 0 without a row
+  std::vector<RolloutResult> results; ///< of several versions, oldest first
+  std::uint64_t resultsRevision = 0;  ///< of the results row, 0 without a row
 };
 
 /** Orders in force, or those that changed after a revision. */
@@ -80,16 +93,19 @@
   virtual config::SnapshotPtr Decode(const std::string& aText,
                                      std::string& aReason) const = 0;
 
-  /** Reads the status row of a service's rollouts. */
+  /** Reads the status and the results of a service's rollouts. */
   virtual void ReadStatus(const std::string& aService,
                           StatusCallback aCallback) = 0;
 
-  /** Writes a rollout's state, if the status row still has the given revision.
+  /**
+   * Writes a rollout's state and, if it is final, its result, unless the rows
+   * changed since they were read.
+   *
+   * @param aRead  the rows as ReadStatus() returned them.
    */
-  virtual void WriteStatus(const std::string& aService,
-                           const std::string& aToVersion,
+  virtual void WriteStatus(const RolloutOrder& aOrder,
                            RolloutState aState,
-                           std::uint64_t aRevision,
+                           const RolloutStatus& aRead,
                            DoneCallback aCallback) = 0;
 };
 
--- a/src/moves/RolloutTracker.cpp
+++ b/src/moves/RolloutTracker.cpp
@@ -21,6 +21,9 @@
   return kShares[std::min(n, kShares.size() - 1)];
 }
 
+/** Earlier rollouts that are kept for each service. */
+constexpr std::size_t kMaxEarlierRollouts = 16;
+
 /** Returns true if a later order is an earlier one that was written again, or
  * merely read again, after the store was restored. */
 bool
@@ -32,6 +35,67 @@
          aEarlier.toVersion == aLater.toVersion;
 }
 
+Rollout
+NewRollout(const operators::RolloutOrder& aOrder, Timestamp aNow)
+{
+  Rollout rollout;
+  rollout.order = aOrder;
+  rollout.firstRevision = aOrder.revision;
+  rollout.orderSeenAt = aNow;
+  rollout.stageSeenAt = aNow;
+  return rollout;
+}
+
+/** Replaces a rollout's order by one that is the same, but was read again. */
+void
+RenewOrder(Rollout& aRollout, const operators::RolloutOrder& aOrder)
+{
+  aRollout.isStatusInDoubt |= IsRewritten(aRollout.order, aOrder);
+  // An order from a peer's progress has no duration.
+  const Milliseconds duration =
+    std::max(aRollout.order.duration, aOrder.duration);
+  aRollout.order = aOrder;
+  aRollout.order.duration = duration;
+}
+
+/** Moves a rollout forward. Returns true if that changes it. */
+bool
+AdvanceRollout(Rollout& aRollout,
+               RolloutStage aStage,
+               bool aCondemned,
+               const std::string& aReason,
+               Timestamp aNow)
+{
+  const bool changes =
+    aStage > aRollout.stage || (aCondemned && !aRollout.condemned &&
+                                aRollout.stage < RolloutStage::kRecorded);
+  if (!changes) {
+    return false;
+  }
+  if (aStage > aRollout.stage) {
+    aRollout.stage = aStage;
+    aRollout.stageSeenAt = aNow;
+  }
+  if (aCondemned && !aRollout.condemned) {
+    aRollout.condemned = true;
+    aRollout.reason = aReason;
+  }
+  return true;
+}
+
+nodes::MoveProgress
+ProgressOf(const Rollout& aRollout)
+{
+  nodes::MoveProgress progress;
+  progress.move = std::string(kProgressPrefix) + aRollout.order.service + "/" +
+                  aRollout.order.toVersion;
+  progress.revision = aRollout.order.revision;
+  progress.stage = static_cast<std::uint32_t>(aRollout.stage);
+  progress.condemned = aRollout.condemned;
+  progress.reason = aRollout.reason;
+  return progress;
+}
+
 } // namespace
 
 bool
@@ -43,26 +107,40 @@
     if (known.order.revision > aOrder.revision) {
       return false;
     }
-    const bool isRewritten = IsRewritten(known.order, aOrder);
-    if (isRewritten || known.order.revision == aOrder.revision) {
-      known.isStatusInDoubt |= isRewritten;
-      // An order from a peer's progress has no duration.
-      const Milliseconds duration =
-        std::max(known.order.duration, aOrder.duration);
-      known.order = aOrder;
-      known.order.duration = duration;
+    if (known.order.revision == aOrder.revision ||
+        IsRewritten(known.order, aOrder)) {
+      RenewOrder(known, aOrder);
       return false;
     }
+    KeepEarlier(std::move(known));
+    mRollouts.erase(it);
+  }
+  Rollout rollout = NewRollout(aOrder, aNow);
+  RolloutsByVersion& earlier = mEarlier[aOrder.service];
+  if (const auto same = earlier.find(aOrder.toVersion); same != earlier.end()) {
+    if (IsRewritten(same->second.order, aOrder)) {
+      rollout = std::move(same->second);
+      RenewOrder(rollout, aOrder);
+    }
+    earlier.erase(same);
   }
-  Rollout rollout;
-  rollout.order = aOrder;
-  rollout.firstRevision = aOrder.revision;
-  rollout.orderSeenAt = aNow;
-  rollout.stageSeenAt = aNow;
   mRollouts.insert_or_assign(aOrder.service, std::move(rollout));
   return true;
 }
 
+void
+RolloutTracker::KeepEarlier(Rollout aRollout)
+{
+  RolloutsByVersion& earlier = mEarlier[aRollout.order.service];
+  const std::string version = aRollout.order.toVersion;
+  earlier.insert_or_assign(version, std::move(aRollout));
+  if (earlier.size() > kMaxEarlierRollouts) {
+    earlier.erase(std::ranges::min_element(earlier, {}, [](const auto& aItem) {
+      return aItem.second.order.revision;
+    }));
+  }
+}
+
 void
 RolloutTracker::ConfirmStatus(const std::string& aService)
 {
@@ -81,21 +159,53 @@
   const std::string name = aProgress.move.substr(kProgressPrefix.size());
   const auto slash = std::min(name.find('/'), name.size());
   const std::string service = name.substr(0, slash);
+  operators::RolloutOrder order;
+  order.service = service;
+  order.toVersion = name.substr(std::min(slash + 1, name.size()));
+  order.revision = aProgress.revision;
+  if (order.service.empty() || order.toVersion.empty()) {
+    return false;
+  }
   const auto it = mRollouts.find(service);
-  if (it == mRollouts.end() || it->second.order.revision < aProgress.revision) {
-    operators::RolloutOrder order;
-    order.service = service;
-    order.toVersion = name.substr(std::min(slash + 1, name.size()));
-    order.revision = aProgress.revision;
-    AddOrder(order, aNow);
-  } else if (it->second.order.revision > aProgress.revision) {
+  if (it != mRollouts.end() && it->second.order.revision > order.revision) {
+    return MergeEarlier(order, aProgress, aNow);
+  }
+  const bool isNew = AddOrder(order, aNow);
+  const bool advances = Advance(service,
+                                static_cast<RolloutStage>(aProgress.stage),
+                                aProgress.condemned,
+                                aProgress.reason,
+                                aNow);
+  return isNew || advances;
+}
+
+bool
+RolloutTracker::MergeEarlier(const operators::RolloutOrder& aOrder,
+                             const nodes::MoveProgress& aProgress,
+                             Timestamp aNow)
+{
+  if (mRollouts.at(aOrder.service).order.toVersion == aOrder.toVersion) {
+    return false; // The version was ordered again.
+  }
+  RolloutsByVersion& earlier = mEarlier[aOrder.service];
+  const auto it = earlier.find(aOrder.toVersion);
+  if (it != earlier.end() && it->second.order.revision > aOrder.revision) {
     return false;
   }
-  return Advance(service,
-                 static_cast<RolloutStage>(aProgress.stage),
-                 aProgress.condemned,
-                 aProgress.reason,
-                 aNow);
+  const bool isNew =
+    it == earlier.end() || it->second.order.revision < aOrder.revision;
+  Rollout rollout = isNew ? NewRollout(aOrder, aNow) : it->second;
+  const bool advances =
+    AdvanceRollout(rollout,
+                   static_cast<RolloutStage>(aProgress.stage),
+                   aProgress.condemned,
+                   aProgress.reason,
+                   aNow);
+  if (isNew || advances) {
+    KeepEarlier(std::move(rollout));
+  }
+  // A rollout that is older than all that are kept is not kept itself.
+  return (isNew || advances) && earlier.contains(aOrder.toVersion);
 }
 
 bool
@@ -106,25 +216,8 @@
                         Timestamp aNow)
 {
   const auto it = mRollouts.find(aService);
-  if (it == mRollouts.end()) {
-    return false;
-  }
-  Rollout& rollout = it->second;
-  const bool changes =
-    aStage > rollout.stage || (aCondemned && !rollout.condemned &&
-                               rollout.stage < RolloutStage::kRecorded);
-  if (!changes) {
-    return false;
-  }
-  if (aStage > rollout.stage) {
-    rollout.stage = aStage;
-    rollout.stageSeenAt = aNow;
-  }
-  if (aCondemned && !rollout.condemned) {
-    rollout.condemned = true;
-    rollout.reason = aReason;
-  }
-  return true;
+  return it != mRollouts.end() &&
+         AdvanceRollout(it->second, aStage, aCondemned, aReason, aNow);
 }
 
 std::vector<nodes::MoveProgress>
@@ -132,14 +225,12 @@
 {
   std::vector<nodes::MoveProgress> out;
   for (const auto& [service, rollout] : mRollouts) {
-    nodes::MoveProgress progress;
-    progress.move =
-      std::string(kProgressPrefix) + service + "/" + rollout.order.toVersion;
-    progress.revision = rollout.order.revision;
-    progress.stage = static_cast<std::uint32_t>(rollout.stage);
-    progress.condemned = rollout.condemned;
-    progress.reason = rollout.reason;
-    out.push_back(std::move(progress));
+    out.push_back(ProgressOf(rollout));
+    if (const auto it = mEarlier.find(service); it != mEarlier.end()) {
+      for (const auto& [version, earlier] : it->second) {
+        out.push_back(ProgressOf(earlier));
+      }
+    }
   }
   return out;
 }
@@ -154,8 +245,25 @@
     return split;
   }
   const Rollout& rollout = it->second;
+  std::vector<std::string> otherThanOld{ rollout.order.toVersion };
+  std::vector<std::string> untested;
+  if (const auto earlier = mEarlier.find(aService); earlier != mEarlier.end()) {
+    for (const auto& [version, ended] : earlier->second) {
+      const bool isTested = ended.stage >= RolloutStage::kDecided;
+      if (ended.condemned || !isTested) {
+        otherThanOld.push_back(version);
+      }
+      if (!ended.condemned && !isTested) {
+        untested.push_back(version);
+      }
+    }
+  }
   split.fromVersions =
-    routing::VersionSelector::AllBut({ rollout.order.toVersion });
+    routing::VersionSelector::AllBut(std::move(otherThanOld));
+  if (!untested.empty()) {
+    split.lastResort =
+      routing::VersionSelector{ std::move(untested), /* negated */ false };
+  }
   split.toVersion = rollout.order.toVersion;
   split.condemned = rollout.condemned;
   split.share = ShareAtStage(rollout.stage);
--- a/src/node/RolloutAgent.cpp
+++ b/src/node/RolloutAgent.cpp
@@ -39,10 +39,16 @@
 /** Delay after which nodes that are no judges write a final status, too. */
 constexpr Milliseconds kNonJudgeStatusDelay{ 2000 };
 
+std::string
+ProgressName(const std::string& aService, const std::string& aVersion)
+{
+  return "rollout/" + aService + "/" + aVersion;
+}
+
 std::string
 ProgressName(const operators::RolloutOrder& aOrder)
 {
-  return "rollout/" + aOrder.service + "/" + aOrder.toVersion;
+  return ProgressName(aOrder.service, aOrder.toVersion);
 }
 
 Milliseconds
@@ -74,11 +80,56 @@
     if (mRollouts.AddOrder(it, mServices.scheduler.Now())) {
       changed = true;
       mServices.onProgress(mRollouts.All().at(it.service));
+      mResultsReads.try_emplace(it.service);
     }
   }
   if (changed) {
     mServices.onSharesChanged();
+    ReadResults();
+  }
+}
+
+void
+RolloutAgent::ReadResults()
+{
+  for (auto& [service, read] : mResultsReads) {
+    if (read.isPending || mServices.scheduler.Now() < read.nextTryAt) {
+      continue;
+    }
+    read.isPending = true;
+    mServices.orders.ReadStatus(
+      service,
+      [this, service](const std::optional<RolloutStatus>& aStatus,
+                      const store::StoreReason&) {
+        if (aStatus) {
+          mResultsReads.erase(service);
+          MergeResults(service, aStatus->results);
+          return;
+        }
+        ResultsRead& current = mResultsReads[service];
+        current.isPending = false;
+        current.nextTryAt = mServices.scheduler.Now() + kStatusRetryInterval;
+      });
+  }
+}
+
+void
+RolloutAgent::MergeResults(
+  const std::string& aService,
+  const std::vector<operators::RolloutResult>& aResults)
+{
+  std::vector<nodes::MoveProgress> progress;
+  for (const auto& it : aResults) {
+    const bool condemned = it.state == RolloutState::kRolledBack;
+    nodes::MoveProgress result;
+    result.move = ProgressName(aService, it.version);
+    result.revision = it.orderRevision;
+    result.stage = static_cast<std::uint32_t>(RolloutStage::kRecorded);
+    result.condemned = condemned;
+    result.reason = condemned ? "the stored result says rolled back" : "";
+    progress.push_back(std::move(result));
   }
+  Merge(progress);
 }
 
 void
@@ -107,13 +158,19 @@
   moves::EvidenceReport report;
   report.node = self.node;
   report.incarnation = self.incarnation;
+  // Calls of versions that were condemned or not tested say nothing about the
+  // old version.
+  const auto oldVersions = mRollouts.SplitOf(aService).fromVersions;
   std::map<std::string, moves::RouteEvidence> routes;
   for (const auto& [key, sums] : aEvidence) {
+    const bool isNew = key.version == it->second.order.toVersion;
+    if (!isNew && !oldVersions.Matches(key.version)) {
+      continue;
+    }
     moves::RouteEvidence& evidence = routes[key.route];
     evidence.move = ProgressName(it->second.order);
     evidence.route = key.route;
-    auto& counts = key.version == it->second.order.toVersion ? evidence.after
-                                                             : evidence.before;
+    auto& counts = isNew ? evidence.after : evidence.before;
     counts.calls += sums.calls;
     counts.failures += sums.failures;
     counts.slow += sums.slow;
@@ -173,6 +230,7 @@
   const auto judges = JudgeNodes();
   const bool isJudge =
     std::ranges::find(judges, mServices.members.Self().node) != judges.end();
+  ReadResults();
   std::vector<std::string> services;
   for (const auto& [service, rollout] : mRollouts.All()) {
     services.push_back(service);
@@ -254,10 +312,12 @@
     return false;
   }
   const Timestamp now = mServices.scheduler.Now();
-  const auto evaluator = mEvaluators.find(aRollout.order.service);
+  const std::string service = aRollout.order.service;
+  const auto evaluated = mEvaluatedOrders.find(service);
   const bool enoughCalls =
-    evaluator != mEvaluators.end() &&
-    evaluator->second.NewVersionCalls() >= kMinCanaryCalls;
+    evaluated != mEvaluatedOrders.end() &&
+    evaluated->second == aRollout.firstRevision &&
+    mEvaluators.at(service).NewVersionCalls() >= kMinCanaryCalls;
   const bool timeIsShort =
     now - aRollout.orderSeenAt >= aRollout.order.duration * kMaxCanaryTimeShare;
   return now - aRollout.stageSeenAt >= CanaryTime(aRollout.order) &&
@@ -346,10 +406,9 @@
   const std::string service = aRollout.order.service;
   mStatusUpdates[service].isPending = true;
   mServices.orders.WriteStatus(
-    service,
-    aRollout.order.toVersion,
+    aRollout.order,
     aState,
-    aStatus.revision,
+    aStatus,
     [this, service, aState, revision = aRollout.order.revision](
       bool aDone, const store::StoreReason&) {
       mStatusUpdates[service].isPending = false;
--- a/tests/moves/RolloutTest.cpp
+++ b/tests/moves/RolloutTest.cpp
@@ -102,6 +102,70 @@
   CHECK(tracker.All().at("timetable").stage == RolloutStage::kCanary);
 }
 
+// Guards against a version that was condemned and gets calls again because of a
+// later order, however a node learned of both.
+TEST_CASE("a later order does not make a node forget a condemned version",
+          "[rollout]")
+{
+  RolloutTracker sender;
+  sender.AddOrder(Order(7), kNow);
+  sender.Advance("timetable", RolloutStage::kDecided, true, "fails", kNow);
+  const auto condemned = sender.Progress();
+  sender.AddOrder({ "timetable", "v3", Milliseconds(16'000), 9 }, kNow);
+  const auto versions = [](const RolloutTracker& aTracker, double aDraw) {
+    routing::RoutingView view;
+    view.splits["timetable"] = aTracker.SplitOf("timetable");
+    return view.VersionsFor("timetable", CallClass::kIdempotent, aDraw);
+  };
+  const auto isUsed = [&versions](const RolloutTracker& aTracker,
+                                  const std::string& aVersion) {
+    bool used = false;
+    for (const double draw : { 0.01, 0.99 }) {
+      for (const auto& it : versions(aTracker, draw)) {
+        used |= it.Matches(aVersion);
+      }
+    }
+    return used;
+  };
+  RolloutTracker joined; // Learns of both orders from a peer.
+  for (const auto& it : sender.Progress()) {
+    joined.Merge(it, kNow);
+  }
+  RolloutTracker late; // Learns of the verdict after the next order.
+  late.AddOrder({ "timetable", "v3", Milliseconds(16'000), 9 }, kNow);
+  CHECK(isUsed(late, "v2"));
+  for (const auto& it : condemned) {
+    CHECK(late.Merge(it, kNow));
+  }
+  for (const RolloutTracker* it : { &sender, &joined, &late }) {
+    CHECK_FALSE(isUsed(*it, "v2"));
+    CHECK(isUsed(*it, "v1"));
+    CHECK(isUsed(*it, "v3"));
+  }
+  // Operators may order the version again, whatever peers still tell of it.
+  late.AddOrder(Order(12), kNow);
+  for (const auto& it : condemned) {
+    CHECK_FALSE(late.Merge(it, kNow));
+  }
+  CHECK(isUsed(late, "v2"));
+}
+
+// Guards against a version that gets its whole share of the calls untested,
+// because another order replaced its own before its rollout was decided.
+TEST_CASE("a version whose rollout was not finished is used only if no other "
+          "is left",
+          "[rollout]")
+{
+  RolloutTracker tracker;
+  tracker.AddOrder(Order(7), kNow);
+  tracker.AddOrder({ "timetable", "v3", Milliseconds(16'000), 9 }, kNow);
+  routing::RoutingView view;
+  view.splits["timetable"] = tracker.SplitOf("timetable");
+  const auto versions =
+    TextOf(view.VersionsFor("timetable", CallClass::kIdempotent, 0.99));
+  CHECK(versions == std::vector<std::string>{ "!v3,v2", "v2" });
+}
+
 TEST_CASE("a condemned version gets no calls, a completed one may get all",
           "[rollout]")
 {
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -358,6 +358,63 @@
   }
 }
 
+// Guards against a version that was rolled back and gets calls again: the order
+// of the next version must not make any node forget it, nor a restart of the
+// nodes that knew it, of all nodes, or of the store's connections.
+TEST_CASE("a version that was rolled back gets no calls once the next version "
+          "is ordered",
+          "[fleet]")
+{
+  enum class Trouble
+  {
+    kNone,
+    kSomeRestart,
+    kAllRestart,
+    kCutOff,
+  };
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    for (const auto trouble : { Trouble::kNone,
+                                Trouble::kSomeRestart,
+                                Trouble::kAllRestart,
+                                Trouble::kCutOff }) {
+      INFO("seed " << seed << ", trouble " << static_cast<int>(trouble));
+      const auto fleet = SettledFleet(seed);
+      for (int n = 0; n < 6; ++n) {
+        const auto zone = "zone" + std::to_string(n % 3);
+        fleet->Start(fleet->Add(zone, "svc", "v2"));
+        fleet->Start(fleet->Add(zone, "svc", "v3"));
+      }
+      fleet->clock.RunFor(Milliseconds(2000));
+      fleet->failShare = 0.5;
+      fleet->OrderRollout("v2", kRolloutDuration);
+      fleet->clock.RunFor(Milliseconds(500));
+      if (trouble == Trouble::kCutOff) {
+        fleet->nodes[1].cutFromPeers = true;
+        fleet->nodes[1].storeFault = PlatformFault::kDown;
+      }
+      fleet->clock.RunFor(Milliseconds(5500));
+      REQUIRE(fleet->RolloutState() == "rolled_back");
+      fleet->nodes[1].cutFromPeers = false;
+      fleet->nodes[1].storeFault = PlatformFault::kNone;
+      fleet->OrderRollout("v3", kRolloutDuration);
+      fleet->clock.RunFor(Milliseconds(1000));
+      for (std::size_t n = 0; n < fleet->nodes.size(); ++n) {
+        if (trouble == Trouble::kAllRestart ||
+            (trouble == Trouble::kSomeRestart && n % 2 == 0)) {
+          fleet->Start(fleet->nodes[n]);
+        }
+      }
+      fleet->clock.RunFor(Milliseconds(2000));
+      const std::uint64_t before = fleet->callsToNewVersion;
+      const std::uint64_t totalBefore = fleet->totalCalls;
+      fleet->clock.RunFor(kRolloutDuration);
+      CHECK(fleet->RolloutState() == "completed");
+      CHECK(fleet->totalCalls > totalBefore);
+      CHECK(fleet->callsToNewVersion == before);
+    }
+  }
+}
+
 TEST_CASE("a change is in force in time although the restored store gave its "
           "revision out before",
           "[fleet]")
