Judge a version that is ordered again by its new calls alone

What operators saw: a version that was rolled back, repaired in place and ordered again was rolled back at once.

Cause: owners report the calls of a version since their process started, and the judges' evaluator is new with each order, so that its first report held the calls of the earlier rollout.

Change: when a version is ordered again, owners leave out the calls that they had counted before they learned of the order.

--- a/include/knapweedpaddle/moves/RolloutTracker.h
+++ b/include/knapweedpaddle/moves/RolloutTracker.h
@@ -40,6 +40,8 @@
   /** Revision under which this node first learned of the order; order.revision
    * differs after the store was restored. */
   std::uint64_t firstRevision = 0;
+  /** An earlier order named the same version. */
+  bool isRepeated = false;
   /** The store was restored, and may have lost the status row. */
   bool isStatusInDoubt = false;
 };
--- a/include/knapweedpaddle/node/RolloutAgent.h
+++ b/include/knapweedpaddle/node/RolloutAgent.h
@@ -68,6 +68,13 @@
     Timestamp nextTryAt{};  ///< earliest time of the next read
   };
 
+  /** Call counts of this node's backend server when an order became known. */
+  struct EvidenceAtOrder
+  {
+    std::uint64_t firstRevision = 0; ///< Rollout::firstRevision of the order
+    backends::EvidenceTable counts;
+  };
+
   /** A read of the results of a service's earlier rollouts. */
   struct ResultsRead
   {
@@ -108,6 +115,8 @@
 
   Services mServices;
   moves::RolloutTracker mRollouts;
+  backends::EvidenceTable mLastEvidence; ///< last passed to TakeEvidence()
+  std::map<std::string, EvidenceAtOrder> mEvidenceAtOrder; ///< by service
   /** Evaluators of the newest orders, keyed by service. */
   std::map<std::string, moves::RolloutEvaluator> mEvaluators;
   /** Rollout::firstRevision of the order that a service's entry of mEvaluators
--- a/src/moves/RolloutTracker.cpp
+++ b/src/moves/RolloutTracker.cpp
@@ -121,6 +121,8 @@
     if (IsRewritten(same->second.order, aOrder)) {
       rollout = std::move(same->second);
       RenewOrder(rollout, aOrder);
+    } else {
+      rollout.isRepeated = true;
     }
     earlier.erase(same);
   }
--- a/src/node/RolloutAgent.cpp
+++ b/src/node/RolloutAgent.cpp
@@ -149,11 +149,18 @@
 RolloutAgent::TakeEvidence(const std::string& aService,
                            const backends::EvidenceTable& aEvidence)
 {
+  const backends::EvidenceTable last = std::exchange(mLastEvidence, aEvidence);
   const auto it = mRollouts.All().find(aService);
   if (it == mRollouts.All().end() ||
       it->second.stage >= RolloutStage::kDecided) {
     return;
   }
+  EvidenceAtOrder& atOrder = mEvidenceAtOrder[aService];
+  if (atOrder.firstRevision != it->second.firstRevision) {
+    atOrder.firstRevision = it->second.firstRevision;
+    // Calls that an earlier order of the same version led to were judged then.
+    atOrder.counts = it->second.isRepeated ? last : backends::EvidenceTable();
+  }
   const MemberRecord& self = mServices.members.Self();
   moves::EvidenceReport report;
   report.node = self.node;
@@ -171,9 +178,13 @@
     evidence.move = ProgressName(it->second.order);
     evidence.route = key.route;
     auto& counts = isNew ? evidence.after : evidence.before;
-    counts.calls += sums.calls;
-    counts.failures += sums.failures;
-    counts.slow += sums.slow;
+    const auto before = atOrder.counts.find(key);
+    const backends::EvidenceSums judged =
+      isNew && before != atOrder.counts.end() ? before->second
+                                              : backends::EvidenceSums();
+    counts.calls += sums.calls - judged.calls;
+    counts.failures += sums.failures - judged.failures;
+    counts.slow += sums.slow - judged.slow;
   }
   for (auto& [route, evidence] : routes) {
     report.routes.push_back(std::move(evidence));
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -415,6 +415,30 @@
   }
 }
 
+// Guards against a repaired version that is condemned for the failures that led
+// to its earlier rollback.
+TEST_CASE("a version that was rolled back and repaired is completed when it is "
+          "ordered again",
+          "[fleet]")
+{
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    INFO("seed " << seed);
+    const auto fleet = SettledFleet(seed);
+    for (int n = 0; n < 6; ++n) {
+      fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
+    }
+    fleet->clock.RunFor(Milliseconds(2000));
+    fleet->failShare = 0.5;
+    fleet->OrderRollout("v2", kRolloutDuration);
+    fleet->clock.RunFor(kRolloutDuration);
+    REQUIRE(fleet->RolloutState() == "rolled_back");
+    fleet->failShare = 0;
+    fleet->OrderRollout("v2", kRolloutDuration);
+    fleet->clock.RunFor(kRolloutDuration);
+    CHECK(fleet->RolloutState() == "completed");
+  }
+}
+
 TEST_CASE("a change is in force in time although the restored store gave its "
           "revision out before",
           "[fleet]")
