Accept as an answer only what is an HTTP/1 response

Cause: nothing decided what an answer is. http_parser takes any number below 1,000 for a status, and ClientConnection checked for interim responses only where a length or chunks end the response, not where the closed connection does.

Change: MessageParser accepts a response only with a status line of HTTP/1 and a status of three digits from 100 to 599 other than 101. It also ends responses without a body at their head (a 304 with a Content-Length never ended) and refuses transfer codings other than chunked. Both ends of a response pass through ClientConnection::EndsExchange().

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -206,9 +206,8 @@
   Response response = mParser.TakeResponse();
   evbuffer* input = bufferevent_get_input(mBuffer);
   const bool hasMoreInput = evbuffer_get_length(input) > 0;
-  const bool interim = response.status < kFirstFinalStatus;
-  if (interim || AnswersOtherRequest(response)) {
-    mDroppedOtherResponse |= !interim;
+  if (!EndsExchange(response)) {
+    mDroppedOtherResponse |= AnswersOtherRequest(response);
     if (++mSkippedResponses > kMaxSkippedResponses) {
       Abort("too many interim responses or responses to other requests");
       return;
@@ -251,6 +250,13 @@
                          : Attribution::kByOrder;
 }
 
+bool
+ClientConnection::EndsExchange(const Response& aResponse) const
+{
+  const bool isInterim = aResponse.status < kFirstFinalStatus;
+  return !isInterim && !AnswersOtherRequest(aResponse);
+}
+
 bool
 ClientConnection::AnswersOtherRequest(const Response& aResponse) const
 {
@@ -298,7 +304,7 @@
     mParser.FinishInput();
     if (mParser.CurrentState() == MessageParser::State::kComplete) {
       Response response = mParser.TakeResponse();
-      if (!AnswersOtherRequest(response)) {
+      if (EndsExchange(response)) {
         Deliver(std::move(response));
         return;
       }
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -63,6 +63,9 @@
   void OnResponse();
   void Fail(ClientError aError, const std::string& aMessage);
   void StartIdleTimer(const Response& aResponse);
+  /** Returns true for the final response to the request of the exchange,
+   * whichever way its end was found. */
+  bool EndsExchange(const Response& aResponse) const;
   bool AnswersOtherRequest(const Response& aResponse) const;
   Attribution AttributionOf(const Response& aResponse) const;
   /** Ends the exchange with a response. */
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -26,6 +26,56 @@
          aHeader.value.find_first_of(kForbidden) == std::string::npos;
 }
 
+std::string
+WithoutTrailingSpace(const std::string& aValue)
+{
+  return aValue.substr(0, aValue.find_last_not_of(" \t") + 1);
+}
+
+/** Length of the start of a status line that holds its status, as in
+ * "HTTP/1.1 200 ". */
+constexpr std::size_t kStatusLineStart = 13;
+
+/** Returns true if a status line is of HTTP/1 and has a status of three digits
+ * from 100 to 599. A switch of protocols is never asked for.
+ *
+ * @param aStart  the first kStatusLineStart characters, or fewer if the line is
+ *                shorter.
+ */
+bool
+IsValidStatusLine(std::string_view aStart)
+{
+  static constexpr std::string_view kProtocol = "HTTP/1.";
+  static constexpr std::size_t kStatusAt = 9;
+  static constexpr std::size_t kStatusDigits = 3;
+  static constexpr std::string_view kSwitchingProtocols = "101";
+  if (!aStart.starts_with(kProtocol) ||
+      aStart.size() < kStatusAt + kStatusDigits ||
+      aStart[kStatusAt - 1] != ' ') {
+    return false;
+  }
+  const std::string_view status = aStart.substr(kStatusAt, kStatusDigits);
+  const std::string_view rest = aStart.substr(kStatusAt + kStatusDigits);
+  const auto isDigit = [](char aCharacter) {
+    return std::isdigit(static_cast<unsigned char>(aCharacter)) != 0;
+  };
+  return std::ranges::all_of(status, isDigit) && status.front() >= '1' &&
+         status.front() <= '5' && status != kSwitchingProtocols &&
+         (rest.empty() || rest.front() == ' ');
+}
+
+/** Returns true for the statuses of responses that have no body, whatever their
+ * headers say (RFC 9112, section 6.3). */
+bool
+HasNoBody(unsigned aStatus)
+{
+  constexpr unsigned kFirstFinalStatus = 200;
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return aStatus < kFirstFinalStatus || aStatus == kNoContent ||
+         aStatus == kNotModified;
+}
+
 } // namespace
 
 class MessageParser::Impl
@@ -50,6 +100,8 @@
     headersComplete = false;
     mHeaderBytes = 0;
     mInValue = false;
+    mStatusLine.clear();
+    mHasStatusLine = false;
     target.clear();
     reason.clear();
     headers.clear();
@@ -62,6 +114,9 @@
       return 0;
     }
     started = true;
+    if (mKind == Kind::kResponses && !mHasStatusLine) {
+      ReadStatusLine({ aData, aSize });
+    }
     const std::size_t used =
       http_parser_execute(&mParser, &Settings(), aData, aSize);
     UpdateStateFromParser();
@@ -146,6 +201,40 @@
     }
   }
 
+  /** Keeps the start of the status line, of which http_parser passes on the
+   * number alone. */
+  void ReadStatusLine(std::string_view aBytes)
+  {
+    for (const char it : aBytes) {
+      const bool isLineEnd = it == '\r' || it == '\n';
+      if (isLineEnd && mStatusLine.empty()) {
+        continue; // http_parser skips line ends before a message.
+      }
+      if (isLineEnd || mStatusLine.size() == kStatusLineStart) {
+        mHasStatusLine = true;
+        return;
+      }
+      mStatusLine.push_back(it);
+    }
+  }
+
+  /** Returns an error of a response's head, or kNone. */
+  ParseError CheckResponseHead() const
+  {
+    static constexpr const char* kTransferEncoding = "transfer-encoding";
+    if (!IsValidStatusLine(mStatusLine)) {
+      return ParseError::kMalformed;
+    }
+    // The header is not passed on, so a body in another coding would seem to be
+    // the plain one.
+    const bool isPlain =
+      std::ranges::all_of(headers, [](const Header& aHeader) {
+        return !EqualsIgnoreCase(aHeader.name, kTransferEncoding) ||
+               EqualsIgnoreCase(WithoutTrailingSpace(aHeader.value), "chunked");
+      });
+    return isPlain ? ParseError::kNone : ParseError::kUnsupportedEncoding;
+  }
+
   /** Records an error. @return the value that makes http_parser stop. */
   int Fail(ParseError aError)
   {
@@ -216,17 +305,25 @@
       return -1;
     }
     aParser->upgrade = 0; // Protocol upgrades are not supported.
-    const bool hasLength = (aParser->flags & F_CONTENTLENGTH) != 0;
-    if (hasLength && !self.mHeadRequest &&
-        aParser->content_length > self.mLimits.bodyBytes) {
-      self.Fail(ParseError::kBodyTooLarge);
-      return -1;
+    if (self.mKind == Kind::kResponses) {
+      if (const auto found = self.CheckResponseHead();
+          found != ParseError::kNone) {
+        self.Fail(found);
+        return -1;
+      }
+      if (self.mHeadRequest || HasNoBody(aParser->status_code)) {
+        return kNoBodyFollows;
+      }
     }
-    if (hasLength && !self.mHeadRequest) {
+    if ((aParser->flags & F_CONTENTLENGTH) != 0) {
+      if (aParser->content_length > self.mLimits.bodyBytes) {
+        self.Fail(ParseError::kBodyTooLarge);
+        return -1;
+      }
       // Memory that is not written to is not used yet.
       self.body.reserve(static_cast<std::size_t>(aParser->content_length));
     }
-    return self.mHeadRequest ? kNoBodyFollows : 0;
+    return 0;
   }
 
   static int OnBody(http_parser* aParser, const char* aAt, std::size_t aSize)
@@ -253,6 +350,8 @@
   http_parser mParser{};
   bool mHeadRequest = false;
   bool mInValue = false;
+  std::string mStatusLine;     ///< its first kStatusLineStart characters
+  bool mHasStatusLine = false; ///< no more of the status line is kept
   std::size_t mHeaderBytes = 0;
 };
 
--- a/tests/backends/FaultyAnswerTest.cpp
+++ b/tests/backends/FaultyAnswerTest.cpp
@@ -234,3 +234,33 @@
     }
   }
 }
+
+// Guards against an answer whose status no HTTP answer has, such as 000, that
+// reaches the caller, however the answer ends.
+TEST_CASE("an answer without a valid status is no answer", "[owner]")
+{
+  const std::string status = GENERATE("HTTP/1.1 000 Odd",
+                                      "HTTP/1.1 099 Odd",
+                                      "HTTP/1.1 20 Odd",
+                                      "HTTP/1.1 0200 Odd",
+                                      "HTTP/1.1 101 Odd",
+                                      "HTTP/1.1 600 Odd",
+                                      "HTTP/1.1 999 Odd",
+                                      "HTTP/2.7 200 Odd");
+  const std::string end = GENERATE("Content-Length: 2\r\n\r\nok",
+                                   "Transfer-Encoding: chunked\r\n\r\n"
+                                   "2\r\nok\r\n0\r\n\r\n",
+                                   "\r\nok",
+                                   "\r\n");
+  const auto callClass =
+    GENERATE(CallClass::kAtMostOnce, CallClass::kIdempotent);
+  CAPTURE(status, end, static_cast<int>(callClass));
+  Fixture it;
+  it.Start("two", callClass);
+  it.AwaitRequest("two");
+  it.server.peer->Write(status + "\r\nId: two\r\nStamp: s\r\n" + end);
+  it.RunLoopFor(Milliseconds(1));
+  it.server.peer.reset();
+  it.AwaitResult();
+  CHECK(it.result->outcome == CallOutcome::kUnknown);
+}
--- a/tests/http/MessageParserTest.cpp
+++ b/tests/http/MessageParserTest.cpp
@@ -141,6 +141,73 @@
   }
 }
 
+// Guards against bytes that are no HTTP/1 response and are taken for one.
+TEST_CASE("a response needs a status of three digits from 100 to 599", "[http]")
+{
+  const auto stateOf = [](const std::string& aStatusLine, std::size_t aPiece) {
+    MessageParser parser(MessageParser::Kind::kResponses, {});
+    FeedInPieces(
+      parser, aStatusLine + "\r\nContent-Length: 2\r\n\r\nok", aPiece);
+    return parser.CurrentState();
+  };
+  for (const std::size_t piece : { 1, 3, 1000 }) {
+    for (const char* valid : { "HTTP/1.1 200 OK",
+                               "HTTP/1.0 200 OK",
+                               "HTTP/1.1 200",
+                               "HTTP/1.1 200 ",
+                               "HTTP/1.1 500 Failed",
+                               "HTTP/1.1 599 Odd",
+                               "\r\nHTTP/1.1 404 Not Found" }) {
+      INFO(valid << " in pieces of " << piece);
+      CHECK(stateOf(valid, piece) == State::kComplete);
+    }
+    for (const char* invalid : { "HTTP/1.1 000 Odd",
+                                 "HTTP/1.1 099 Odd",
+                                 "HTTP/1.1 20 Odd",
+                                 "HTTP/1.1 2 Odd",
+                                 "HTTP/1.1 0200 Odd",
+                                 "HTTP/1.1  200 Odd",
+                                 "HTTP/1.1 101 Switching Protocols",
+                                 "HTTP/1.1 600 Odd",
+                                 "HTTP/1.1 999 Odd",
+                                 "HTTP/1.1 1200 Odd",
+                                 "HTTP/2.7 200 Odd",
+                                 "HTTP/0.9 200 Odd" }) {
+      INFO(invalid << " in pieces of " << piece);
+      CHECK(stateOf(invalid, piece) == State::kFailed);
+    }
+  }
+}
+
+// Guards against responses that wait for a body that never comes, and against
+// coded bodies that are passed on without the header that names their coding.
+TEST_CASE("the body of a response ends as its status and framing say", "[http]")
+{
+  const auto parse = [](const std::string& aBytes, bool aEnds) {
+    MessageParser parser(MessageParser::Kind::kResponses, {});
+    FeedInPieces(parser, aBytes, 5);
+    if (aEnds) {
+      parser.FinishInput();
+    }
+    return parser.CurrentState();
+  };
+  for (const char* status : { "100 Continue", "204 No Content", "304 Same" }) {
+    INFO(status);
+    const std::string line = std::string("HTTP/1.1 ") + status + "\r\n";
+    CHECK(parse(line + "Content-Length: 20\r\n\r\n", false) ==
+          State::kComplete);
+    CHECK(parse(line + "\r\n", false) == State::kComplete);
+  }
+  const std::string line = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+  CHECK(parse(line + "Chunked\r\n\r\n0\r\n\r\n", false) == State::kComplete);
+  CHECK(parse(line + "chunked \r\n\r\n0\r\n\r\n", false) == State::kComplete);
+  for (const char* coding :
+       { "gzip", "identity", "gzip, chunked", "xchunked" }) {
+    INFO(coding);
+    CHECK(parse(line + coding + "\r\n\r\n0\r\n\r\n", true) == State::kFailed);
+  }
+}
+
 TEST_CASE("hop-by-hop headers are not forwarded", "[http]")
 {
   const std::vector<Header> headers{
