Bound what probes and the store's client read

What callers would see: a node that runs out of memory and ends with all its requests, because a server or the store sends bytes without end (other operators' report).

Cause: http::ClientOptions allowed 64 MB for one response and for all in progress, which is more than a VM has for them. The backend dispatcher alone had lower limits.

Change: the dispatcher's limits of 16 MB are the default, and health probes read 64 KB.

--- a/include/knapweedpaddle/http/Client.h
+++ b/include/knapweedpaddle/http/Client.h
@@ -42,10 +42,13 @@
    * checked.
    */
   std::string correlationHeader;
-  /** Limit of the bytes received for one request. */
-  std::size_t maxResponseBytes = 64UL * 1024 * 1024;
+  /** Limit of the bytes received for one request. A response without end must
+   * not use up the memory, which is 88 MB on the smallest VMs. */
+  std::size_t maxResponseBytes = kMaxResponseBytes;
   /** Limit of the bytes that all requests in progress have received. */
-  std::size_t maxBufferedBytes = 64UL * 1024 * 1024;
+  std::size_t maxBufferedBytes = kMaxResponseBytes;
+
+  static constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
 };
 
 /**
--- a/src/backends/BackendDispatcher.cpp
+++ b/src/backends/BackendDispatcher.cpp
@@ -33,9 +33,6 @@
 constexpr double kLogLinesPerSecond = 20;
 constexpr double kLogBurst = 100;
 constexpr int kFirstServerError = 500;
-/** Limit of the bytes of all answers in progress together. An answer without
- * end must not use up the memory, which is 88 MB on the smallest VMs. */
-constexpr std::size_t kMaxAnswerBytes = 16UL * 1024 * 1024;
 /** Weight of one call in the moving average of the failure share. */
 constexpr double kFailureShareSmoothing = 0.05;
 /** Weight of one call in the moving average of a route's service time. */
@@ -239,8 +236,6 @@
   {
     http::ClientOptions options;
     options.correlationHeader = aDialect.echoesCallId ? aDialect.callId : "";
-    options.maxResponseBytes = kMaxAnswerBytes;
-    options.maxBufferedBytes = kMaxAnswerBytes;
     return options;
   }
 
--- a/src/backends/ServerWarmup.cpp
+++ b/src/backends/ServerWarmup.cpp
@@ -14,14 +14,25 @@
 /** Time for the answer of a health check; then it is asked again. */
 constexpr Milliseconds kProbeTimeout{ 300 };
 constexpr Milliseconds kMaxProbeIdle{ 1000 };
+/** Limit of a health answer, of which only the headers are used. */
+constexpr std::size_t kMaxProbeBytes = 64UL * 1024;
 constexpr int kStatusOk = 200;
 
+http::ClientOptions
+ProbeOptions()
+{
+  http::ClientOptions options;
+  options.maxResponseBytes = kMaxProbeBytes;
+  options.maxBufferedBytes = kMaxProbeBytes;
+  return options;
+}
+
 } // namespace
 
 ServerWarmup::ServerWarmup(Services aServices)
   : mServices(aServices)
   , mLimit(Now())
-  , mHttp(aServices.loop, {})
+  , mHttp(aServices.loop, ProbeOptions())
 {
 }
 
--- a/tests/backends/FaultyAnswerTest.cpp
+++ b/tests/backends/FaultyAnswerTest.cpp
@@ -4,6 +4,7 @@
 
 #include "knapweedpaddle/backends/BackendDispatcher.h"
 
+#include "fakes/EndlessServer.h"
 #include "fakes/ScriptedServer.h"
 #include "knapweedpaddle/telemetry/Metrics.h"
 #include "knapweedpaddle/telemetry/Tracer.h"
@@ -264,3 +265,21 @@
   it.AwaitResult();
   CHECK(it.result->outcome == CallOutcome::kUnknown);
 }
+
+// Guards against a node that runs out of memory because it keeps what a faulty
+// server sends without end in answer to a health probe.
+TEST_CASE("a probe whose answer has no end is given up", "[owner]")
+{
+  // Nothing in the body of a health answer is used.
+  constexpr std::size_t kMaxBytes = 1024UL * 1024;
+  constexpr std::size_t kSocketBytes = 8UL * 1024 * 1024;
+  fakes::EndlessServer endless("HTTP/1.1 200 OK\r\n\r\n", "x");
+  Fixture it;
+  it.dispatcher.SetWarmup({ { "svc", { 10, "/health" } } });
+  it.dispatcher.SetBackend(
+    BackendServer{ endless.address, "svc", "v1", 4, "i-1", 1000 });
+  it.dispatcher.OnPause(); // The state of the server has to be asked for.
+  CHECK(fakes::RunUntil(it.loop, [&] { return endless.openConnections > 0; }));
+  CHECK(fakes::RunUntil(it.loop, [&] { return endless.openConnections == 0; }));
+  CHECK(endless.bytesSent <= kMaxBytes + kSocketBytes);
+}
--- a/tests/platform/RowStoreClientTest.cpp
+++ b/tests/platform/RowStoreClientTest.cpp
@@ -3,6 +3,7 @@
 
 #include "RowStoreClient.h"
 
+#include "fakes/EndlessServer.h"
 #include "fakes/FreeAddress.h"
 #include "knapweedpaddle/http/Server.h"
 #include "knapweedpaddle/runtime/EventLoop.h"
@@ -144,3 +145,27 @@
   CHECK(it.Read("five", "91").revision == 91);
   CHECK(it.Follow(90));
 }
+
+// Guards against a node that runs out of memory because the store, or what took
+// its address, sends bytes without end.
+TEST_CASE("answers of the store without end are given up", "[store]")
+{
+  constexpr int kReads = 4;
+  // A page of a table has 1 MB, an object 8 MB; what sockets buffer comes on
+  // top.
+  constexpr std::size_t kMaxBytes = 16UL * 1024 * 1024;
+  constexpr std::size_t kSocketBytes = 8UL * 1024 * 1024;
+  runtime::EventLoop loop;
+  fakes::EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "[");
+  RowStoreClient client(
+    loop, server.address, Milliseconds(5000), [](std::size_t, std::size_t) {});
+  int failed = 0;
+  for (int n = 0; n < kReads; ++n) {
+    client.ReadTable("op", [&failed](const auto& aRows, const auto&) {
+      failed += aRows ? 0 : 1;
+    });
+  }
+  CHECK(fakes::RunUntil(
+    loop, [&] { return failed == kReads && server.openConnections == 0; }));
+  CHECK(server.bytesSent <= kMaxBytes + kReads * kSocketBytes);
+}
--- a/tests/processes/ClientLimitsTest.cpp
+++ b/tests/processes/ClientLimitsTest.cpp
@@ -162,8 +162,11 @@
             http::FindHeader(aExchange->Message().headers, "request-id")) {
         response.headers.push_back({ "Request-Id", *id });
       }
-      response.body = std::string(
-        aExchange->Message().target == "/a/big" ? kBigAnswer : 2, 'y');
+      const std::string target = aExchange->Message().target;
+      response.body = std::string(target == "/a/huge"  ? kMaxBody
+                                  : target == "/a/big" ? kBigAnswer
+                                                       : 2,
+                                  'y');
       aExchange->Respond(std::move(response));
     })
   {
@@ -183,14 +186,144 @@
   std::thread mThread;
 };
 
+/**
+ * A faulty backend server. It answers requests for /a/b and reads the bodies of
+ * POST requests without an answer. To all others it sends bytes until the node
+ * closes the connection: the start of an answer, and then a part that it
+ * repeats.
+ */
+class EndlessBackend
+{
+public:
+  EndlessBackend(int aPort, std::string aStart, const std::string& aPart)
+    : mListener(socket(AF_INET, SOCK_STREAM, 0))
+    , mStart(std::move(aStart))
+  {
+    while (mBlock.size() < kBlockBytes) {
+      mBlock += aPart;
+    }
+    const int on = 1;
+    setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(mListener,
+                 reinterpret_cast<const sockaddr*>(&address),
+                 sizeof(address)) == 0);
+    REQUIRE(listen(mListener, kBacklog) == 0);
+    mThread = std::thread([this] { Accept(); });
+  }
+
+  ~EndlessBackend()
+  {
+    mStopped = true;
+    mThread.join();
+    close(mListener);
+  }
+  EndlessBackend(const EndlessBackend&) = delete;
+  EndlessBackend& operator=(const EndlessBackend&) = delete;
+
+  /** Connections that got bytes without end and were closed by the node. */
+  int Ended() const { return mEnded; }
+
+private:
+  static constexpr std::size_t kBlockBytes = 64UL * 1024;
+  static constexpr int kBacklog = 64;
+
+  void Accept()
+  {
+    std::vector<std::thread> threads;
+    while (!mStopped) {
+      pollfd entry{ mListener, POLLIN, 0 };
+      if (poll(&entry, 1, kPollMs) > 0) {
+        threads.emplace_back([this, fd = accept(mListener, nullptr, nullptr)] {
+          Serve(fd);
+          close(fd);
+        });
+      }
+    }
+    for (auto& it : threads) {
+      it.join();
+    }
+  }
+
+  void Serve(int aSocket)
+  {
+    const timeval timeout{ 0, kPollMs * 1000 };
+    setsockopt(aSocket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    setsockopt(aSocket, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
+    std::string request;
+    std::string buf(kBlockBytes, '\0');
+    while (!mStopped) {
+      const ssize_t n = recv(aSocket, buf.data(), buf.size(), 0);
+      if (n == 0 || (n < 0 && errno != EAGAIN)) {
+        return;
+      }
+      request.append(buf, 0, n > 0 ? static_cast<std::size_t>(n) : 0);
+      if (request.starts_with("POST ")) {
+        request.resize(request.find(' ') + 1); // The rest is not needed.
+        continue;
+      }
+      if (!request.ends_with("\r\n\r\n")) {
+        continue;
+      }
+      if (!request.starts_with("GET /a/b ")) {
+        SendWithoutEnd(aSocket);
+        return;
+      }
+      const std::string answer = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n" +
+                                 IdLine(request) +
+                                 "Content-Length: 2\r\n\r\nyy";
+      send(aSocket, answer.data(), answer.size(), MSG_NOSIGNAL);
+      request.clear();
+    }
+  }
+
+  void SendWithoutEnd(int aSocket)
+  {
+    send(aSocket, mStart.data(), mStart.size(), MSG_NOSIGNAL);
+    while (!mStopped) {
+      if (send(aSocket, mBlock.data(), mBlock.size(), MSG_NOSIGNAL) < 0 &&
+          errno != EAGAIN) {
+        ++mEnded;
+        return;
+      }
+    }
+  }
+
+  /** Returns the line of a request that names its id. */
+  static std::string IdLine(const std::string& aRequest)
+  {
+    static constexpr const char* kName = "Request-Id: ";
+    const auto at = aRequest.find(kName);
+    return at == std::string::npos
+             ? ""
+             : aRequest.substr(at, aRequest.find('\n', at) + 1 - at);
+  }
+
+  static constexpr int kPollMs = 100;
+
+  int mListener;
+  std::string mStart;
+  std::string mBlock;
+  std::atomic<bool> mStopped{ false };
+  std::atomic<int> mEnded{ 0 };
+  std::thread mThread;
+};
+
 /** Two nodes: callers reach the first one, the second one has the server. */
 class Fixture
 {
 public:
-  Fixture()
+  static constexpr int kBackendPort = kBasePort + 35;
+
+  /** @param aBackend  the server on kBackendPort; null: an ordinary one. */
+  explicit Fixture(std::shared_ptr<void> aBackend = nullptr)
     : mFolder(std::filesystem::temp_directory_path() /
               ("client-limits-" + std::to_string(getpid())))
-    , mBackend(Address(kBasePort + 35))
+    , mBackend(aBackend ? std::move(aBackend)
+                        : std::make_shared<Backend>(Address(kBackendPort)))
   {
     std::filesystem::create_directories(mFolder);
     mPlatform = std::make_unique<Process>(
@@ -374,7 +507,7 @@
   }
 
   std::filesystem::path mFolder;
-  Backend mBackend;
+  std::shared_ptr<void> mBackend;
   std::unique_ptr<Process> mPlatform;
   std::atomic<bool> mStopped{ false };
   std::thread mReports;
@@ -483,3 +616,76 @@
   CHECK(response.status == 200);
   it.CheckNodes();
 }
+
+// Guards against nodes that keep what a faulty server sends without end, run
+// out of memory and take the requests of all other callers with them.
+TEST_CASE("a server that sends bytes without end ends no node", "[limits]")
+{
+  struct Case
+  {
+    const char* name;
+    std::string start;
+    std::string part;
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n";
+  const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const Case endless =
+    GENERATE_COPY(Case{ "no answer", "", "x" },
+                  Case{ "status line", "HTTP/1.1 200 ", "x" },
+                  Case{ "header line", head + "X: ", "x" },
+                  Case{ "header lines", head, "X: x\r\n" },
+                  Case{ "body until close", head + "\r\n", "x" },
+                  Case{ "small chunks", chunkedHead, "1\r\nx\r\n" },
+                  Case{ "large chunks",
+                        chunkedHead,
+                        "10000\r\n" + std::string(65536, 'x') + "\r\n" },
+                  Case{ "trailer", chunkedHead + "0\r\n", "X: x\r\n" });
+  INFO(endless.name);
+  constexpr int kCallers = 40;
+  const auto backend = std::make_shared<EndlessBackend>(
+    Fixture::kBackendPort, endless.start, endless.part);
+  Fixture it(backend);
+  Crowd crowd;
+  for (int n = 0; n < kCallers; ++n) {
+    crowd.Add(it.CallerPort(), Head("GET", "/a/endless", ""), 0, false);
+  }
+  crowd.Send();
+  CHECK(it.IsAnswered());
+  CHECK(backend->Ended() > 0);
+  it.CheckNodes();
+}
+
+// Guards against answers that are counted apart from the bodies of requests: a
+// node has one memory for both.
+TEST_CASE("answers without end beside large bodies end no node", "[limits]")
+{
+  const auto backend = std::make_shared<EndlessBackend>(
+    Fixture::kBackendPort,
+    "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "10000\r\n" + std::string(65536, 'x') + "\r\n");
+  Fixture it(backend);
+  Crowd crowd;
+  for (int n = 0; n < 24; ++n) {
+    // Callers of both kinds at the node of the faulty server.
+    const int port = it.owner.basePort + 1;
+    crowd.Add(port, Head("POST", "/a/b", Length(kMaxBody)), kMaxBody, false);
+    crowd.Add(port, Head("GET", "/a/endless", ""), 0, false);
+  }
+  crowd.Send();
+  it.CheckNodes();
+}
+
+// Guards against large answers that pile up at the node of the server, or at
+// the node of callers that don't read them.
+TEST_CASE("many large answers at once, unread", "[limits]")
+{
+  Fixture it;
+  Crowd crowd;
+  for (int n = 0; n < 40; ++n) {
+    crowd.Add(it.CallerPort(), Head("GET", "/a/huge", ""), 0, false);
+  }
+  crowd.Send();
+  std::this_thread::sleep_for(Milliseconds(kStallMs));
+  CHECK(it.IsAnswered());
+  it.CheckNodes();
+}
