--- a/src/node/FleetNode.cpp
+++ b/src/node/FleetNode.cpp
@@ -40,6 +40,9 @@
 /** Share of the memory for bodies, and for input and output in buffers. The
  * largest body allowed must fit on the smallest VM. */
 constexpr double kHeldMemoryShare = 0.5;
+/** Limits of requests to the addresses for reports, readiness and metrics. */
+constexpr std::size_t kMaxControlHeaderBytes = 16UL * 1024;
+constexpr std::size_t kMaxReportBytes = 64UL * 1024;
 constexpr double kBytesPerMb = 1024.0 * 1024;
 constexpr int kExitGraceful = 0;
 constexpr int kExitCallsLost = 1;
@@ -237,8 +240,12 @@
     }
     HeldBytes::SetLimit(static_cast<std::size_t>(
       mSettings.memoryMb * kBytesPerMb * kHeldMemoryShare));
+    http::ServerLimits limits;
+    limits.headerBytes = kMaxControlHeaderBytes;
+    limits.bodyBytes = kMaxReportBytes;
     for (auto* it : { &mReady, &mReports, &mMetricsPage }) {
       it->SetMaxConnections(kMaxControlConnections);
+      it->SetLimits(limits);
     }
     mTraffic.SetCallerService(mSettings.service);
     mControlLoop.RunEvery(kSettingsPollInterval, [this] { PollSettings(); });
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -201,6 +201,26 @@
   CHECK(DecodeConfig(limits + nested + "}}", reason));
 }
 
+// Guards against a report whose names every node of the fleet would have to
+// keep and pass on, whatever their size.
+TEST_CASE("a report with overlong names is refused", "[platform]")
+{
+  for (const char* field : { "\"s\"", "\"v1\"", "\"10.0.0.9:80\"" }) {
+    for (const bool isOverlong : { false, true }) {
+      INFO(field << (isOverlong ? ", overlong" : ""));
+      const std::string name(isOverlong ? 201 : 200, 'n');
+      std::string reason;
+      const auto report = DecodeReport(
+        Heartbeat(Replaced(kReport, field, "\"" + name + "\"")), reason);
+      CHECK(report.has_value() == !isOverlong);
+    }
+  }
+  http::Request overlong = Heartbeat(kReport);
+  overlong.target += std::string(200, 'n');
+  std::string reason;
+  CHECK_FALSE(DecodeReport(overlong, reason));
+}
+
 TEST_CASE("a deregistration needs no body", "[platform]")
 {
   http::Request request;
