Send earlier rollouts only while their service has an open one

A progress message is one datagram. With the earlier rollouts of all services it would outgrow the largest one; it now carries those of services whose newest rollout goes on, 8 at most for each. Join answers carry all.

--- a/include/knapweedpaddle/moves/RolloutTracker.h
+++ b/include/knapweedpaddle/moves/RolloutTracker.h
@@ -4,6 +4,7 @@
 #include "knapweedpaddle/operators/OrderStore.h"
 #include "knapweedpaddle/routing/RoutingView.h"
 
+#include <functional>
 #include <map>
 
 namespace knapweedpaddle::moves {
@@ -82,10 +83,14 @@
   /** Returns the newest rollouts by service. */
   const std::map<std::string, Rollout>& All() const { return mRollouts; }
 
-  /** Returns the progress of the newest and earlier rollouts, for Merge() at
-   * peers. */
+  /** Returns the progress of all rollouts, for Merge() at peers. */
   std::vector<nodes::MoveProgress> Progress() const;
 
+  /** Returns the part of Progress() that peers need while rollouts go on, which
+   * fits into a datagram: without the earlier rollouts of services whose newest
+   * one has ended. */
+  std::vector<nodes::MoveProgress> OpenProgress() const;
+
   /** Returns how a service's calls are split between versions. */
   routing::VersionSplit SplitOf(const std::string& aService) const;
 
@@ -98,6 +103,8 @@
                     Timestamp aNow);
   /** Keeps a rollout that a newer order replaces. */
   void KeepEarlier(Rollout aRollout);
+  std::vector<nodes::MoveProgress> ProgressWithEarlier(
+    const std::function<bool(const Rollout&)>& aHasEarlier) const;
 
   std::map<std::string, Rollout> mRollouts; ///< keyed by service
   /** Earlier rollouts of a service, the newest of each version other than that
--- a/src/moves/RolloutTracker.cpp
+++ b/src/moves/RolloutTracker.cpp
@@ -22,7 +22,7 @@
 }
 
 /** Earlier rollouts that are kept for each service. */
-constexpr std::size_t kMaxEarlierRollouts = 16;
+constexpr std::size_t kMaxEarlierRollouts = 8;
 
 /** Returns true if a later order is an earlier one that was written again, or
  * merely read again, after the store was restored. */
@@ -224,14 +224,31 @@
 
 std::vector<nodes::MoveProgress>
 RolloutTracker::Progress() const
+{
+  return ProgressWithEarlier([](const Rollout&) { return true; });
+}
+
+std::vector<nodes::MoveProgress>
+RolloutTracker::OpenProgress() const
+{
+  return ProgressWithEarlier([](const Rollout& aNewest) {
+    return aNewest.stage != RolloutStage::kRecorded;
+  });
+}
+
+std::vector<nodes::MoveProgress>
+RolloutTracker::ProgressWithEarlier(
+  const std::function<bool(const Rollout&)>& aHasEarlier) const
 {
   std::vector<nodes::MoveProgress> out;
   for (const auto& [service, rollout] : mRollouts) {
     out.push_back(ProgressOf(rollout));
-    if (const auto it = mEarlier.find(service); it != mEarlier.end()) {
-      for (const auto& [version, earlier] : it->second) {
-        out.push_back(ProgressOf(earlier));
-      }
+    const auto it = mEarlier.find(service);
+    if (it == mEarlier.end() || !aHasEarlier(rollout)) {
+      continue;
+    }
+    for (const auto& [version, earlier] : it->second) {
+      out.push_back(ProgressOf(earlier));
     }
   }
   return out;
@@ -247,21 +264,20 @@
     return split;
   }
   const Rollout& rollout = it->second;
-  std::vector<std::string> otherThanOld{ rollout.order.toVersion };
+  std::vector<std::string> notOld{ rollout.order.toVersion };
   std::vector<std::string> untested;
   if (const auto earlier = mEarlier.find(aService); earlier != mEarlier.end()) {
     for (const auto& [version, ended] : earlier->second) {
       const bool isTested = ended.stage >= RolloutStage::kDecided;
       if (ended.condemned || !isTested) {
-        otherThanOld.push_back(version);
+        notOld.push_back(version);
       }
       if (!ended.condemned && !isTested) {
         untested.push_back(version);
       }
     }
   }
-  split.fromVersions =
-    routing::VersionSelector::AllBut(std::move(otherThanOld));
+  split.fromVersions = routing::VersionSelector::AllBut(std::move(notOld));
   if (!untested.empty()) {
     split.lastResort =
       routing::VersionSelector{ std::move(untested), /* negated */ false };
--- a/src/node/RolloutAgent.cpp
+++ b/src/node/RolloutAgent.cpp
@@ -467,7 +467,7 @@
 RolloutAgent::SendProgress()
 {
   mNextProgressSendAt = mServices.scheduler.Now() + kProgressSendInterval;
-  if (const auto progress = mRollouts.Progress(); !progress.empty()) {
+  if (const auto progress = mRollouts.OpenProgress(); !progress.empty()) {
     mServices.send(mServices.members.ProgressMessages(progress));
   }
 }
