--- a/src/node/RolloutAgent.cpp
+++ b/src/node/RolloutAgent.cpp
@@ -92,7 +92,8 @@
 void
 RolloutAgent::ReadResults()
 {
-  for (auto& [service, read] : mResultsReads) {
+  for (auto& [name, read] : mResultsReads) {
+    const std::string& service = name;
     if (read.isPending || mServices.scheduler.Now() < read.nextTryAt) {
       continue;
     }
--- a/tests/moves/RolloutTest.cpp
+++ b/tests/moves/RolloutTest.cpp
@@ -47,6 +47,7 @@
 TextOf(const std::vector<routing::VersionSelector>& aSelectors)
 {
   std::vector<std::string> out;
+  out.reserve(aSelectors.size());
   for (const auto& it : aSelectors) {
     out.push_back(it.ToString());
   }
--- a/tests/processes/ClientLimitsTest.cpp
+++ b/tests/processes/ClientLimitsTest.cpp
@@ -250,7 +250,7 @@
 
   void Serve(int aSocket)
   {
-    const timeval timeout{ 0, kPollMs * 1000 };
+    const timeval timeout{ 0, kPollMicroseconds };
     setsockopt(aSocket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
     setsockopt(aSocket, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
     std::string request;
@@ -303,6 +303,7 @@
   }
 
   static constexpr int kPollMs = 100;
+  static constexpr int kPollMicroseconds = 100'000;
 
   int mListener;
   std::string mStart;
