Spell the name of a rollout in one place

Cause: RolloutTracker and RolloutAgent each built the name under which the progress and evidence of a rollout are sent, and the reading of stored results had added to it. Five tests of fleets started the servers of the next version by the same lines, and a sixth by nearly the same.

Change: moves::RolloutName() serves both classes, FleetWithServersOf() all six tests. RolloutResult loses a comparison that nothing used.

--- a/include/knapweedpaddle/moves/RolloutTracker.h
+++ b/include/knapweedpaddle/moves/RolloutTracker.h
@@ -29,6 +29,10 @@
   { RolloutStage::kRecorded, "recorded" },
 } };
 
+/** Returns the name of a rollout in MoveProgress::move and in evidence. */
+std::string
+RolloutName(const std::string& aService, const std::string& aVersion);
+
 /** The progress of one rollout that this node knows of. */
 struct Rollout
 {
--- a/include/knapweedpaddle/operators/OrderStore.h
+++ b/include/knapweedpaddle/operators/OrderStore.h
@@ -37,8 +37,6 @@
   std::string version;
   std::uint64_t orderRevision = 0; ///< revision of the rollout's order
   RolloutState state = RolloutState::kCompleted; ///< never kActive
-
-  bool operator==(const RolloutResult&) const = default;
 };
 
 /** The status row of a service's rollouts, which operators read, and the row
--- a/src/moves/RolloutTracker.cpp
+++ b/src/moves/RolloutTracker.cpp
@@ -87,8 +87,7 @@
 ProgressOf(const Rollout& aRollout)
 {
   nodes::MoveProgress progress;
-  progress.move = std::string(kProgressPrefix) + aRollout.order.service + "/" +
-                  aRollout.order.toVersion;
+  progress.move = RolloutName(aRollout.order.service, aRollout.order.toVersion);
   progress.revision = aRollout.order.revision;
   progress.stage = static_cast<std::uint32_t>(aRollout.stage);
   progress.condemned = aRollout.condemned;
@@ -98,6 +97,12 @@
 
 } // namespace
 
+std::string
+RolloutName(const std::string& aService, const std::string& aVersion)
+{
+  return std::string(kProgressPrefix) + aService + "/" + aVersion;
+}
+
 bool
 RolloutTracker::AddOrder(const operators::RolloutOrder& aOrder, Timestamp aNow)
 {
--- a/src/node/RolloutAgent.cpp
+++ b/src/node/RolloutAgent.cpp
@@ -40,15 +40,9 @@
 constexpr Milliseconds kNonJudgeStatusDelay{ 2000 };
 
 std::string
-ProgressName(const std::string& aService, const std::string& aVersion)
+NameOfRollout(const operators::RolloutOrder& aOrder)
 {
-  return "rollout/" + aService + "/" + aVersion;
-}
-
-std::string
-ProgressName(const operators::RolloutOrder& aOrder)
-{
-  return ProgressName(aOrder.service, aOrder.toVersion);
+  return moves::RolloutName(aOrder.service, aOrder.toVersion);
 }
 
 Milliseconds
@@ -123,7 +117,7 @@
   for (const auto& it : aResults) {
     const bool condemned = it.state == RolloutState::kRolledBack;
     nodes::MoveProgress result;
-    result.move = ProgressName(aService, it.version);
+    result.move = moves::RolloutName(aService, it.version);
     result.revision = it.orderRevision;
     result.stage = static_cast<std::uint32_t>(RolloutStage::kRecorded);
     result.condemned = condemned;
@@ -176,7 +170,7 @@
       continue;
     }
     moves::RouteEvidence& evidence = routes[key.route];
-    evidence.move = ProgressName(it->second.order);
+    evidence.move = NameOfRollout(it->second.order);
     evidence.route = key.route;
     auto& counts = isNew ? evidence.after : evidence.before;
     const auto before = atOrder.counts.find(key);
@@ -207,7 +201,7 @@
     return;
   }
   for (const auto& [service, rollout] : mRollouts.All()) {
-    if (aReport.routes.front().move != ProgressName(rollout.order)) {
+    if (aReport.routes.front().move != NameOfRollout(rollout.order)) {
       continue;
     }
     if (mEvaluatedOrders[service] != rollout.firstRevision) {
--- a/tests/node/FleetTest.cpp
+++ b/tests/node/FleetTest.cpp
@@ -19,6 +19,22 @@
 constexpr Milliseconds kMaxApplyTime{ 2000 };
 constexpr Milliseconds kRolloutDuration{ 16'000 };
 
+/** Returns a settled fleet in which six servers of each of some further
+ * versions have started. */
+std::unique_ptr<FakeFleet>
+FleetWithServersOf(const std::vector<std::string>& aVersions,
+                   std::uint64_t aSeed)
+{
+  auto fleet = SettledFleet(aSeed);
+  for (int n = 0; n < 6; ++n) {
+    for (const auto& version : aVersions) {
+      fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", version));
+    }
+  }
+  fleet->clock.RunFor(Milliseconds(2000));
+  return fleet;
+}
+
 /** What happens around the order of the next version. */
 enum class NextOrderTrouble
 {
@@ -35,13 +51,7 @@
 {
   for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
     INFO("seed " << seed);
-    const auto fleet = SettledFleet(seed);
-    for (int n = 0; n < 6; ++n) {
-      const auto zone = "zone" + std::to_string(n % 3);
-      fleet->Start(fleet->Add(zone, "svc", "v2"));
-      fleet->Start(fleet->Add(zone, "svc", "v3"));
-    }
-    fleet->clock.RunFor(Milliseconds(2000));
+    const auto fleet = FleetWithServersOf({ "v2", "v3" }, seed);
     fleet->failShare = 0.5;
     fleet->OrderRollout("v2", kRolloutDuration);
     fleet->clock.RunFor(Milliseconds(500));
@@ -359,11 +369,7 @@
   for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
     for (const std::size_t deaths : { 0, 2, 5 }) {
       INFO("seed " << seed << ", " << deaths << " deaths");
-      const auto fleet = SettledFleet(seed);
-      for (int n = 0; n < 6; ++n) {
-        fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
-      }
-      fleet->clock.RunFor(Milliseconds(2000));
+      const auto fleet = FleetWithServersOf({ "v2" }, seed);
       fleet->OrderRollout("v2", kRolloutDuration);
       fleet->clock.RunFor(Milliseconds(5000));
       CHECK(fleet->RolloutState() == "active");
@@ -387,11 +393,7 @@
     for (const bool storeFails : { false, true }) {
       INFO("seed " << seed
                    << (storeFails ? ", half of the nodes lose the store" : ""));
-      const auto fleet = SettledFleet(seed);
-      for (int n = 0; n < 6; ++n) {
-        fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
-      }
-      fleet->clock.RunFor(Milliseconds(2000));
+      const auto fleet = FleetWithServersOf({ "v2" }, seed);
       fleet->failShare = 0.5;
       fleet->totalCalls = 0;
       fleet->OrderRollout("v2", kRolloutDuration);
@@ -449,11 +451,7 @@
 {
   for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
     INFO("seed " << seed);
-    const auto fleet = SettledFleet(seed);
-    for (int n = 0; n < 6; ++n) {
-      fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
-    }
-    fleet->clock.RunFor(Milliseconds(2000));
+    const auto fleet = FleetWithServersOf({ "v2" }, seed);
     fleet->failShare = 0.5;
     fleet->OrderRollout("v2", kRolloutDuration);
     fleet->clock.RunFor(kRolloutDuration);
@@ -500,11 +498,7 @@
       for (const int rowsBefore : { 0, 30 }) {
         INFO("seed " << seed << ", restored after " << restoredAfter
                      << " s, with " << rowsBefore << " rows before the order");
-        const auto fleet = SettledFleet(seed);
-        for (int n = 0; n < 6; ++n) {
-          fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
-        }
-        fleet->clock.RunFor(Milliseconds(2000));
+        const auto fleet = FleetWithServersOf({ "v2" }, seed);
         const standins::InMemoryStore copy = fleet->shared.table;
         fleet->WriteOtherRows(10);
         fleet->OrderRollout("v2", kRolloutDuration);
@@ -537,11 +531,7 @@
 {
   for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
     INFO("seed " << seed);
-    const auto fleet = SettledFleet(seed);
-    for (int n = 0; n < 6; ++n) {
-      fleet->Start(fleet->Add("zone" + std::to_string(n % 3), "svc", "v2"));
-    }
-    fleet->clock.RunFor(Milliseconds(2000));
+    const auto fleet = FleetWithServersOf({ "v2" }, seed);
     const standins::InMemoryStore copy = fleet->shared.table;
     fleet->WriteOtherRows(30);
     fleet->OrderRollout("v0", kRolloutDuration);
